--- /dev/null
+++ b/cmds/apply.go
@@ -0,0 +1,179 @@
+package cmds
+
+import (
+	"context"
+	"crypto/rand"
+	"os"
+	"os/user"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/spf13/cobra"
+
+	"github.com/cassialead/cassialead/config"
+	"github.com/cassialead/cassialead/history"
+	"github.com/cassialead/cassialead/operator"
+	"github.com/cassialead/cassialead/settings"
+)
+
+func newID() string { return rand.Text() }
+
+// change holds the flags of commands that submit a version.
+type change struct {
+	author, message, id string
+	base                uint64
+	wait                bool
+	timeout             time.Duration
+}
+
+func (c *change) register(cmd *cobra.Command) {
+	f := cmd.Flags()
+	f.StringVar(&c.author, "author", currentUser(), "who makes the change")
+	f.StringVar(&c.message, "message", "", "why the change is made")
+	f.StringVar(&c.id, "change", "", "id of the change; give the same one to ask again after an unknown outcome")
+	f.BoolVar(&c.wait, "wait", false, "wait until the version is in force everywhere")
+	f.DurationVar(&c.timeout, "timeout", 30*time.Second, "longest wait")
+}
+
+func currentUser() string {
+	if u, err := user.Current(); err == nil {
+		return u.Username
+	}
+	return "unknown"
+}
+
+func (c *change) changeID() config.ChangeID {
+	if c.id == "" {
+		c.id = newID()
+	}
+	return config.ChangeID(c.id)
+}
+
+func readSource(file string) (config.Source, error) {
+	data, err := os.ReadFile(file)
+	if err != nil {
+		return config.Source{}, errors.Mark(err, settings.ErrUnreadable)
+	}
+	src, err := config.Parse(file, data)
+	if err != nil {
+		return src, err
+	}
+	_, err = config.Compile(file, src.Document)
+	return src, err
+}
+
+func (a *app) applyCommand() *cobra.Command {
+	var c change
+	cmd := &cobra.Command{
+		Use:   "apply FILE",
+		Short: "Submit a document as the next version",
+		Long: "Apply submits a document. The document names the version it was edited from, as `cassialead show` writes it, or\n" +
+			"--base does. Edits that other operators made meanwhile are merged; overlapping ones are refused, naming both.",
+		Example: "  cassialead apply examples/palmared.ini --wait\n  cassialead show > intent.ini && $EDITOR intent.ini && cassialead apply intent.ini",
+		Args:    cobra.ExactArgs(1),
+		RunE: func(cmd *cobra.Command, args []string) error {
+			src, err := readSource(args[0])
+			if err != nil {
+				return err
+			}
+			base := src.Base
+			if c.base != 0 {
+				base = config.Version(c.base)
+			}
+			d, err := a.book().Apply(cmd.Context(), history.Change{Document: src.Document, Base: base, Author: c.author,
+				Message: c.message, ID: c.changeID()})
+			return a.accepted(cmd.Context(), d, err, c)
+		},
+	}
+	c.register(cmd)
+	cmd.Flags().Uint64Var(&c.base, "base", 0, "version that the edit started from, if the document does not name it")
+	return cmd
+}
+
+// accepted prints an accepted change and waits for it if asked to.
+func (a *app) accepted(ctx context.Context, d config.Delta, err error, c change) error {
+	if err != nil {
+		return errors.Wrapf(err, "change %s", c.id)
+	}
+	out := struct {
+		Version config.Version   `json:"version"`
+		Change  config.ChangeID  `json:"change"`
+		Digest  config.Digest    `json:"digest"`
+		Spread  *operator.Spread `json:"spread,omitempty"`
+	}{Version: d.To, Change: d.Change, Digest: d.Digest}
+	var spreadErr error
+	if c.wait {
+		ctx, cancel := context.WithTimeout(ctx, c.timeout)
+		defer cancel()
+		var s operator.Spread
+		s, spreadErr = a.operator().Await(ctx, a.store(), d.To)
+		out.Spread = &s
+	}
+	if err := a.print(out, func() {
+		a.printf("version %d accepted, change %s\n", d.To, d.Change)
+		if out.Spread != nil {
+			a.printSpread(*out.Spread)
+		}
+	}); err != nil {
+		return err
+	}
+	return spreadErr
+}
+
+func (a *app) printSpread(s operator.Spread) {
+	a.printf("%d of %d nodes have it in force after %.2f s\n", s.InForce, s.Known, s.Took.Seconds())
+	for _, l := range s.Laggards {
+		a.printf("  behind: %s at version %d\n", l.Node, l.Version)
+	}
+	for _, u := range s.Unreachable {
+		a.printf("  unreachable: %s\n", u)
+	}
+}
+
+func (a *app) checkCommand() *cobra.Command {
+	return &cobra.Command{
+		Use:     "check FILE",
+		Short:   "Check a document without submitting it",
+		Example: "  cassialead check examples/palmared.ini",
+		Args:    cobra.ExactArgs(1),
+		RunE: func(_ *cobra.Command, args []string) error {
+			src, err := readSource(args[0])
+			if err != nil {
+				return err
+			}
+			cfg, err := config.Compile(args[0], src.Document)
+			if err != nil {
+				return err
+			}
+			warnings := cfg.Warnings(time.Now())
+			out := map[string]any{"services": len(cfg.Services), "routes": len(cfg.Routes), "exceptions": len(cfg.Exceptions),
+				"digest": src.Document.Digest(), "warnings": warnings}
+			return a.print(out, func() {
+				a.printf("%s: %d services, %d routes, %d exceptions\n", args[0], len(cfg.Services), len(cfg.Routes), len(cfg.Exceptions))
+				for _, w := range warnings {
+					a.printf("warning: %s\n", w)
+				}
+			})
+		},
+	}
+}
+
+func (a *app) rollbackCommand() *cobra.Command {
+	var c change
+	cmd := &cobra.Command{
+		Use:     "rollback VERSION",
+		Short:   "Submit the content of an older version as a new one",
+		Example: "  cassialead rollback 41 --wait",
+		Args:    cobra.ExactArgs(1),
+		RunE: func(cmd *cobra.Command, args []string) error {
+			v, err := parseVersion(args[0])
+			if err != nil {
+				return err
+			}
+			d, err := a.book().Rollback(cmd.Context(), v, c.author, c.changeID())
+			return a.accepted(cmd.Context(), d, err, c)
+		},
+	}
+	c.register(cmd)
+	return cmd
+}
--- /dev/null
+++ b/cmds/demo.go
@@ -0,0 +1,6 @@
+package cmds
+
+import "github.com/spf13/cobra"
+
+func (a *app) demoCommand() *cobra.Command    { return &cobra.Command{Use: "demo"} }
+func (a *app) measureCommand() *cobra.Command { return &cobra.Command{Use: "measure"} }
--- /dev/null
+++ b/cmds/doc.go
@@ -0,0 +1,2 @@
+// Package cmds holds the commands of the cassialead program.
+package cmds
--- /dev/null
+++ b/cmds/fleet.go
@@ -0,0 +1,195 @@
+package cmds
+
+import (
+	"runtime/debug"
+
+	"github.com/cockroachdb/errors"
+	"github.com/spf13/cobra"
+
+	"github.com/cassialead/cassialead/config"
+	"github.com/cassialead/cassialead/control"
+	"github.com/cassialead/cassialead/fleet"
+	"github.com/cassialead/cassialead/history"
+	"github.com/cassialead/cassialead/operator"
+)
+
+func (a *app) needNode() (fleet.Address, error) {
+	if a.nodeAddress == "" {
+		return "", errors.Wrap(errUsage, "--node is required")
+	}
+	return fleet.Address(a.nodeAddress), nil
+}
+
+func (a *app) statusCommand() *cobra.Command {
+	return &cobra.Command{
+		Use:   "status",
+		Short: "Show the fleet at a glance, or one node with --node",
+		Long: "Status asks the leads that the store lists. With --node it asks that node alone, which works while the store is out\n" +
+			"and names the leads that the node knows.",
+		Example: "  cassialead status\n  cassialead status --node 127.0.0.1:9003 --output json",
+		Args:    cobra.NoArgs,
+		RunE: func(cmd *cobra.Command, _ []string) error {
+			if a.nodeAddress != "" {
+				s, err := a.operator().Status(cmd.Context(), fleet.Address(a.nodeAddress))
+				if err != nil {
+					return err
+				}
+				return a.print(s, func() { a.printNode(s) })
+			}
+			return a.fleetStatus(cmd)
+		},
+	}
+}
+
+func (a *app) printNode(s control.Status) {
+	role := "node"
+	switch {
+	case s.Lease:
+		role = "lead"
+	case s.Root:
+		role = "acting lead"
+	case s.Children > 0:
+		role = "relay"
+	}
+	a.printf("%s: %s in %s/%s, %s, version %d (floor %d)\n", s.Record.Node, role, s.Record.Region, s.Record.DataCentre,
+		readyText(s.Ready), s.Version, s.Floor)
+	a.printf("  parent %q, spare %q, %d children, %d links below the root\n", s.Parent, s.Spare, s.Children, s.Distance)
+	a.printf("  knows %d nodes: %d serving, %d leaving, %d gone\n", s.Known, s.States["serving"], s.States["leaving"], s.States["gone"])
+	for _, l := range s.Leads {
+		a.printf("  lead of %s: %s at %s\n", l.DataCentre, l.Node, l.Link)
+	}
+	if s.Behind {
+		a.printf("  the store holds an older version than the one in force\n")
+	}
+}
+
+func readyText(ready bool) string {
+	if ready {
+		return "ready"
+	}
+	return "not ready"
+}
+
+func (a *app) fleetStatus(cmd *cobra.Command) error {
+	h, _, err := a.book().Head(cmd.Context())
+	if err != nil && !errors.Is(err, history.ErrEmpty) {
+		return err
+	}
+	leads, err := operator.Leads(cmd.Context(), a.store())
+	if err != nil {
+		return err
+	}
+	spread := a.operator().Spread(cmd.Context(), leads, h.Version)
+	out := map[string]any{"accepted": h.Version, "spread": spread, "leads": leads}
+	return a.print(out, func() {
+		a.printf("accepted version %d; %d of %d nodes have it in force, %d leads\n", h.Version, spread.InForce, spread.Known, len(leads))
+		for _, l := range leads {
+			a.printf("  lead of %s/%s: %s at %s\n", l.Region, l.DataCentre, l.Node, l.Link)
+		}
+		for _, l := range spread.Laggards {
+			a.printf("  behind: %s at version %d\n", l.Node, l.Version)
+		}
+		for _, u := range spread.Unreachable {
+			a.printf("  unreachable: %s\n", u)
+		}
+	})
+}
+
+func (a *app) explainCommand() *cobra.Command {
+	var host, tenant string
+	cmd := &cobra.Command{
+		Use:     "explain PATH",
+		Short:   "Say which route, service and exceptions a call meets at a node, and why",
+		Example: "  cassialead explain /orders --tenant cooperativa-norte --node 127.0.0.1:9003",
+		Args:    cobra.ExactArgs(1),
+		RunE: func(cmd *cobra.Command, args []string) error {
+			at, err := a.needNode()
+			if err != nil {
+				return err
+			}
+			e, err := a.operator().Explain(cmd.Context(), at, host, args[0], config.Tenant(tenant))
+			if err != nil {
+				return err
+			}
+			return a.print(e, func() {
+				if e.Refusal != nil {
+					a.printf("refused: %s (%s)\n", e.Refusal.Message, e.Refusal.Cause)
+					return
+				}
+				a.printf("version %d: route %s to service %s, %d targets within reach\n", e.Version, e.Route, e.Service, len(e.Targets))
+				for _, key := range []string{"calls", "class", "class in force", "timeout", "max-wait", "retries", "hedge", "spill", "long-share", "weight"} {
+					a.printf("  %s = %s\n", key, e.Policy[key])
+				}
+				for _, x := range e.Exceptions {
+					a.printf("  exception %s by %s: %s\n", x.Name, x.Author, x.Reason)
+				}
+			})
+		},
+	}
+	cmd.Flags().StringVar(&host, "host", "", "host that the caller names")
+	cmd.Flags().StringVar(&tenant, "tenant", "", "tenant that the caller names")
+	return cmd
+}
+
+func (a *app) drainCommand() *cobra.Command {
+	return &cobra.Command{
+		Use:   "drain",
+		Short: "Take the targets beside a node out of service",
+		Long: "Drain tells the fleet that the node's targets take no new work; calls in flight go on to their end. A target that\n" +
+			"withdraws and announces itself again takes work again.",
+		Example: "  cassialead drain --node 127.0.0.1:9003",
+		Args:    cobra.NoArgs,
+		RunE: func(cmd *cobra.Command, _ []string) error {
+			at, err := a.needNode()
+			if err != nil {
+				return err
+			}
+			s, err := a.operator().Drain(cmd.Context(), at)
+			if err != nil {
+				return err
+			}
+			return a.print(s, func() { a.printf("%s takes no new work for its targets\n", s.Record.Node) })
+		},
+	}
+}
+
+func (a *app) recoverCommand() *cobra.Command {
+	var c change
+	cmd := &cobra.Command{
+		Use:   "recover",
+		Short: "Write the version in force on a node back to a store that was put back from an old copy",
+		Long: "Recover takes the document that a node has in force and makes it the store's accepted version again, under the\n" +
+			"same lineage. It refuses when the store already holds that version or a later one.",
+		Example: "  cassialead recover --node 127.0.0.1:9003",
+		Args:    cobra.NoArgs,
+		RunE: func(cmd *cobra.Command, _ []string) error {
+			at, err := a.needNode()
+			if err != nil {
+				return err
+			}
+			held, err := a.operator().Document(cmd.Context(), at)
+			if err != nil {
+				return err
+			}
+			d, err := a.book().Recover(cmd.Context(), held.Lineage, held.Version, held.Document, c.author, c.changeID())
+			return a.accepted(cmd.Context(), d, err, c)
+		},
+	}
+	c.register(cmd)
+	return cmd
+}
+
+func (a *app) versionCommand() *cobra.Command {
+	return &cobra.Command{
+		Use:   "version",
+		Short: "Print the program's version",
+		Args:  cobra.NoArgs,
+		RunE: func(*cobra.Command, []string) error {
+			v := "unknown"
+			if info, ok := debug.ReadBuildInfo(); ok {
+				v = info.Main.Version + " " + info.GoVersion
+			}
+			return a.print(map[string]string{"version": v}, func() { a.printf("cassialead %s\n", v) })
+		},
+	}
+}
--- /dev/null
+++ b/cmds/node.go
@@ -0,0 +1,49 @@
+package cmds
+
+import (
+	"io"
+	"log/slog"
+	"math/rand/v2"
+	"net/http"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+	"github.com/spf13/cobra"
+
+	"github.com/cassialead/cassialead/node"
+	"github.com/cassialead/cassialead/settings"
+	"github.com/cassialead/cassialead/store"
+)
+
+func newLogger(w io.Writer, format string) *slog.Logger {
+	if format == "json" {
+		return slog.New(slog.NewJSONHandler(w, nil))
+	}
+	return slog.New(slog.NewTextHandler(w, nil))
+}
+
+func (a *app) nodeCommand() *cobra.Command {
+	return &cobra.Command{
+		Use:   "node SETTINGS",
+		Short: "Run the node of a VM",
+		Long: "Node runs until it is asked to end by SIGTERM or SIGINT. It then tells the fleet, takes no new calls after 3 s, and\n" +
+			"ends when the calls in flight have. Settings are read once; to change them, replace the process.",
+		Example: "  cassialead node examples/node-costa-norte-1.ini",
+		Args:    cobra.ExactArgs(1),
+		RunE: func(cmd *cobra.Command, args []string) error {
+			cfg, err := settings.LoadNode(args[0])
+			if err != nil {
+				return err
+			}
+			set := metrics.NewSet()
+			n, err := node.New(cfg, node.Deps{
+				Store: store.New(cfg.Store, http.DefaultTransport, set), Log: newLogger(a.errOut, cfg.LogFormat), Metrics: set,
+				Rand: rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())), Now: time.Now,
+			})
+			if err != nil {
+				return err
+			}
+			return n.Run(cmd.Context())
+		},
+	}
+}
--- /dev/null
+++ b/cmds/standin.go
@@ -0,0 +1,78 @@
+package cmds
+
+import (
+	"net"
+	"net/http"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/spf13/cobra"
+
+	"github.com/cassialead/cassialead/standin"
+)
+
+func (a *app) standinCommand() *cobra.Command {
+	cmd := &cobra.Command{Use: "standin", Short: "Run a stand-in for the platform's store or for a target"}
+	cmd.AddCommand(a.standinStore(), a.standinTarget())
+	return cmd
+}
+
+func (a *app) standinStore() *cobra.Command {
+	var listen string
+	var reads, writes int
+	cmd := &cobra.Command{
+		Use:     "store",
+		Short:   "Run an in-memory key-value service; PUT /standin/faults switches its faults",
+		Example: "  cassialead standin store --listen 127.0.0.1:8500\n  curl -X PUT 127.0.0.1:8500/standin/faults -d '{\"outage\":true}'",
+		Args:    cobra.NoArgs,
+		RunE: func(cmd *cobra.Command, _ []string) error {
+			l, err := net.Listen("tcp", listen)
+			if err != nil {
+				return errors.Mark(err, errUsage)
+			}
+			s := &http.Server{Handler: standin.NewStore(reads, writes).Handler(), ReadHeaderTimeout: 5 * time.Second}
+			go func() {
+				<-cmd.Context().Done()
+				_ = s.Close()
+			}()
+			a.printf("store listens on %s\n", l.Addr())
+			if err := s.Serve(l); !errors.Is(err, http.ErrServerClosed) {
+				return err
+			}
+			return nil
+		},
+	}
+	cmd.Flags().StringVar(&listen, "listen", "127.0.0.1:8500", "loopback address to listen on")
+	cmd.Flags().IntVar(&reads, "reads", 2000, "reads taken per second")
+	cmd.Flags().IntVar(&writes, "writes", 400, "writes taken per second")
+	return cmd
+}
+
+func (a *app) standinTarget() *cobra.Command {
+	var cfg standin.TargetSettings
+	cmd := &cobra.Command{
+		Use:     "target",
+		Short:   "Run a target that announces itself to --node; PUT /standin/faults switches its faults",
+		Example: "  cassialead standin target --service stock-and-calendar --slots 9 --node 127.0.0.1:9003",
+		Args:    cobra.NoArgs,
+		RunE: func(cmd *cobra.Command, _ []string) error {
+			cfg.Node = a.nodeAddress
+			t, err := standin.NewTarget(cfg)
+			if err != nil {
+				return err
+			}
+			a.printf("target of %s listens on %s\n", cfg.Service, t.Address())
+			<-cmd.Context().Done()
+			t.Close()
+			return nil
+		},
+	}
+	f := cmd.Flags()
+	f.StringVar(&cfg.Service, "service", "", "service that the target belongs to")
+	f.IntVar(&cfg.Slots, "slots", 9, "calls that may run at once")
+	f.IntVar(&cfg.Connections, "connections", 120, "connections that may be open")
+	f.DurationVar(&cfg.Work, "work", 2*time.Millisecond, "time of a call that does not name one with ?work=")
+	f.DurationVar(&cfg.ColdStart, "cold-start", 0, "time after the start in which calls take ten times as long")
+	_ = cmd.MarkFlagRequired("service")
+	return cmd
+}
--- /dev/null
+++ b/config/compile.go
@@ -0,0 +1,311 @@
+package config
+
+import (
+	"slices"
+	"strings"
+	"time"
+)
+
+// ServiceName names a service.
+type ServiceName string
+
+// RouteName names a route.
+type RouteName string
+
+// Tenant names a customer on whose behalf a call is made.
+type Tenant string
+
+// Config is the immutable result of resolving a document.
+type Config struct {
+	Services   map[ServiceName]*Service
+	Routes     []*Route // longest path first
+	Exceptions []*Exception
+}
+
+// Service is a named group of targets.
+type Service struct {
+	Name   ServiceName
+	policy overlay
+}
+
+// Route sends calls under a path to a service.
+type Route struct {
+	Name    RouteName
+	Host    string
+	Path    string
+	Service ServiceName
+
+	base       Policy
+	exceptions []*Exception
+}
+
+// Exception overrides the policy of the calls it matches.
+type Exception struct {
+	Name    string      `json:"name"`
+	Service ServiceName `json:"service,omitempty"`
+	Route   RouteName   `json:"route,omitempty"`
+	Tenant  Tenant      `json:"tenant,omitempty"`
+	Reason  string      `json:"reason"`
+	Author  string      `json:"author"`
+	Until   time.Time   `json:"until,omitzero"`
+
+	policy overlay
+}
+
+// Expired reports whether the exception no longer applies at now.
+func (e *Exception) Expired(now time.Time) bool {
+	return !e.Until.IsZero() && !now.Before(e.Until)
+}
+
+// Policy returns the route's policy for a tenant at now, and the exceptions that shaped it.
+func (r *Route) Policy(tenant Tenant, now time.Time) (Policy, []*Exception) {
+	p := r.base
+	var applied []*Exception
+	for _, e := range r.exceptions {
+		if e.Expired(now) || (e.Tenant != "" && e.Tenant != tenant) {
+			continue
+		}
+		p = e.policy.apply(p)
+		applied = append(applied, e)
+	}
+	return p, applied
+}
+
+// Match returns the route with the longest path that covers the request, or nil.
+func (c *Config) Match(host, path string) *Route {
+	for _, r := range c.Routes {
+		if r.Host != "" && r.Host != host {
+			continue
+		}
+		if covers(r.Path, path) {
+			return r
+		}
+	}
+	return nil
+}
+
+func covers(prefix, path string) bool {
+	if !strings.HasPrefix(path, prefix) {
+		return false
+	}
+	return len(path) == len(prefix) || strings.HasSuffix(prefix, "/") || path[len(prefix)] == '/'
+}
+
+// Compile resolves a document; it returns Problems, which match ErrInvalid, naming each fault.
+func Compile(file string, d Document) (*Config, error) {
+	c := compiler{
+		file: file,
+		cfg:  &Config{Services: map[ServiceName]*Service{}},
+	}
+	for _, name := range d.Names() {
+		c.section(name, d[name])
+	}
+	c.checkReferences()
+	c.resolve()
+	if err := c.problems.OrNil(); err != nil {
+		return nil, err
+	}
+	return c.cfg, nil
+}
+
+type compiler struct {
+	file     string
+	cfg      *Config
+	defaults overlay
+	routes   map[RouteName]overlay
+	problems Problems
+}
+
+func (c *compiler) fail(section SectionName, key, message string) {
+	c.problems = append(c.problems, Problem{File: c.file, Section: string(section), Key: key, Message: message})
+}
+
+func (c *compiler) section(name SectionName, body Section) {
+	kind, label, _ := strings.Cut(string(name), " ")
+	switch kind {
+	case "defaults":
+		if label != "" {
+			c.fail(name, "", "the defaults section takes no name")
+		}
+		c.defaults = c.overlay(name, body, "")
+		return
+	case "service", "route", "exception":
+	default:
+		c.fail(name, "", "unknown section; want defaults, service, route or exception")
+		return
+	}
+	if !validName(label) {
+		c.fail(name, "", "want a name of letters, digits, '-', '_' or '.' after "+kind)
+		return
+	}
+	switch kind {
+	case "service":
+		c.service(name, ServiceName(label), body)
+	case "route":
+		c.route(name, RouteName(label), body)
+	case "exception":
+		c.exception(name, label, body)
+	}
+}
+
+func validName(s string) bool {
+	if s == "" || len(s) > 100 {
+		return false
+	}
+	return strings.IndexFunc(s, func(r rune) bool {
+		return !(r == '-' || r == '_' || r == '.' || r >= '0' && r <= '9' || r >= 'a' && r <= 'z' || r >= 'A' && r <= 'Z')
+	}) < 0
+}
+
+// overlay reads the policy keys of a section, leaving out the space-separated own keys.
+func (c *compiler) overlay(name SectionName, body Section, own string) overlay {
+	var o overlay
+	ownKeys := strings.Fields(own)
+	for _, key := range sortedKeys(body) {
+		if slices.Contains(ownKeys, key) {
+			continue
+		}
+		set, err := policyKey(key, body[key])
+		if err != nil {
+			c.fail(name, key, err.Error())
+			continue
+		}
+		o = append(o, set)
+	}
+	return o
+}
+
+func (c *compiler) service(name SectionName, label ServiceName, body Section) {
+	c.cfg.Services[label] = &Service{Name: label, policy: c.overlay(name, body, "")}
+}
+
+func (c *compiler) route(name SectionName, label RouteName, body Section) {
+	r := &Route{Name: label, Host: body["host"], Path: body["path"], Service: ServiceName(body["service"])}
+	if !strings.HasPrefix(r.Path, "/") {
+		c.fail(name, "path", "want a path that starts with /")
+	}
+	if r.Service == "" {
+		c.fail(name, "service", "the key is required")
+	}
+	if c.routes == nil {
+		c.routes = map[RouteName]overlay{}
+	}
+	c.routes[label] = c.overlay(name, body, "host path service")
+	c.cfg.Routes = append(c.cfg.Routes, r)
+}
+
+func (c *compiler) exception(name SectionName, label string, body Section) {
+	e := &Exception{Name: label, Reason: body["reason"], Author: body["author"]}
+	if strings.TrimSpace(e.Reason) == "" {
+		c.fail(name, "reason", "an exception needs a written reason")
+	}
+	if e.Author == "" {
+		c.fail(name, "author", "the key is required")
+	}
+	c.match(name, e, body["match"])
+	if until := body["until"]; until != "" {
+		t, err := time.Parse(time.DateOnly, until)
+		if err != nil {
+			c.fail(name, "until", "want a date such as 2027-01-31, got \""+until+"\"")
+		}
+		e.Until = t
+	}
+	e.policy = c.overlay(name, body, "match reason author until")
+	if len(e.policy) == 0 {
+		c.fail(name, "", "the exception overrides nothing")
+	}
+	c.cfg.Exceptions = append(c.cfg.Exceptions, e)
+}
+
+func (c *compiler) match(name SectionName, e *Exception, match string) {
+	terms := strings.Fields(match)
+	if len(terms) == 0 {
+		c.fail(name, "match", "want terms such as service=NAME route=NAME tenant=NAME")
+	}
+	for _, term := range terms {
+		key, value, _ := strings.Cut(term, "=")
+		switch {
+		case value == "":
+			c.fail(name, "match", "want NAME=VALUE, got \""+term+"\"")
+		case key == "service":
+			e.Service = ServiceName(value)
+		case key == "route":
+			e.Route = RouteName(value)
+		case key == "tenant":
+			e.Tenant = Tenant(value)
+		default:
+			c.fail(name, "match", "unknown term \""+key+"\"; want service, route or tenant")
+		}
+	}
+}
+
+func (c *compiler) checkReferences() {
+	paths := map[string]RouteName{}
+	for _, r := range c.cfg.Routes {
+		section := SectionName("route " + string(r.Name))
+		if _, ok := c.cfg.Services[r.Service]; !ok && r.Service != "" {
+			c.fail(section, "service", "service \""+string(r.Service)+"\" does not exist")
+		}
+		if other, ok := paths[r.Host+" "+r.Path]; ok {
+			c.fail(section, "path", "route \""+string(other)+"\" has the same host and path")
+		}
+		paths[r.Host+" "+r.Path] = r.Name
+	}
+	for _, e := range c.cfg.Exceptions {
+		section := SectionName("exception " + e.Name)
+		if _, ok := c.cfg.Services[e.Service]; !ok && e.Service != "" {
+			c.fail(section, "match", "service \""+string(e.Service)+"\" does not exist")
+		}
+		if _, ok := c.routes[e.Route]; !ok && e.Route != "" {
+			c.fail(section, "match", "route \""+string(e.Route)+"\" does not exist")
+		}
+	}
+}
+
+func (c *compiler) resolve() {
+	slices.SortStableFunc(c.cfg.Routes, func(a, b *Route) int {
+		if n := len(b.Path) - len(a.Path); n != 0 {
+			return n
+		}
+		if n := len(b.Host) - len(a.Host); n != 0 {
+			return n
+		}
+		return strings.Compare(string(a.Name), string(b.Name))
+	})
+	byBreadth := slices.Clone(c.cfg.Exceptions)
+	slices.SortStableFunc(byBreadth, func(a, b *Exception) int { return a.terms() - b.terms() })
+	for _, r := range c.cfg.Routes {
+		p := c.defaults.apply(DefaultPolicy())
+		if s := c.cfg.Services[r.Service]; s != nil {
+			p = s.policy.apply(p)
+		}
+		r.base = c.routes[r.Name].apply(p)
+		for _, e := range byBreadth {
+			if (e.Service == "" || e.Service == r.Service) && (e.Route == "" || e.Route == r.Name) {
+				r.exceptions = append(r.exceptions, e)
+			}
+		}
+	}
+}
+
+// terms counts the match terms: an exception with more terms goes before a broader one.
+func (e *Exception) terms() int {
+	n := 0
+	for _, s := range []string{string(e.Service), string(e.Route), string(e.Tenant)} {
+		if s != "" {
+			n++
+		}
+	}
+	return n
+}
+
+// Warnings returns notes about exceptions that have no effect at now.
+func (c *Config) Warnings(now time.Time) []string {
+	var notes []string
+	for _, e := range c.Exceptions {
+		if e.Expired(now) {
+			notes = append(notes, "exception \""+e.Name+"\" expired on "+e.Until.Format(time.DateOnly))
+		}
+	}
+	return notes
+}
--- /dev/null
+++ b/config/doc.go
@@ -0,0 +1,2 @@
+// Package config parses, validates, versions and merges the operators' document.
+package config
--- /dev/null
+++ b/fleet/order.go
@@ -0,0 +1,111 @@
+package fleet
+
+import (
+	"cmp"
+	"math"
+	"slices"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+const minRelayed = 16 // data centres of at most this many nodes have no relays
+
+// Order is the shape of one data centre, the same on every node that holds the same records.
+type Order struct {
+	// Ranked lists the live nodes by succession: the lead by term first, then by hash.
+	Ranked []NodeID
+	// Relays are the nodes between the lead and the others; it is empty in a small data centre.
+	Relays []NodeID
+}
+
+// Order returns the shape of a data centre; the result is shared and must not be changed.
+func (f *Fleet) Order(dc DataCentre) *Order {
+	if o, ok := f.order[dc]; ok {
+		return o
+	}
+	o := f.newOrder(dc)
+	f.order[dc] = o
+	return o
+}
+
+func (f *Fleet) newOrder(dc DataCentre) *Order {
+	type ranked struct {
+		id     NodeID
+		term   Term
+		state  State
+		weight uint64
+	}
+	var live []ranked
+	for _, r := range f.records {
+		if r.DataCentre == dc && r.Live() {
+			live = append(live, ranked{r.Node, r.Lead, r.State, xxhash.Sum64String(string(r.Node))})
+		}
+	}
+	slices.SortFunc(live, func(a, b ranked) int {
+		return cmp.Or(cmp.Compare(a.state, b.state), cmp.Compare(b.term, a.term),
+			cmp.Compare(a.weight, b.weight), cmp.Compare(a.id, b.id))
+	})
+	o := &Order{}
+	for _, r := range live {
+		o.Ranked = append(o.Ranked, r.id)
+	}
+	if n := len(live); n > minRelayed {
+		relays := int(math.Ceil(math.Sqrt(float64(n))))
+		o.Relays = o.Ranked[1 : 1+relays]
+	}
+	return o
+}
+
+// Rank returns a node's place in the succession, or the number of nodes if it is unknown.
+func (o *Order) Rank(n NodeID) int {
+	if i := slices.Index(o.Ranked, n); i >= 0 {
+		return i
+	}
+	return len(o.Ranked)
+}
+
+// Parents returns the nodes that n should hang under, the best first; the lead has none.
+func (o *Order) Parents(n NodeID) []NodeID {
+	rank := o.Rank(n)
+	if rank == 0 {
+		return nil
+	}
+	if len(o.Relays) == 0 || slices.Contains(o.Relays, n) {
+		return o.Ranked[:min(rank, 3)]
+	}
+	byHash := slices.Clone(o.Relays)
+	weights := make(map[NodeID]uint64, len(byHash))
+	for _, r := range byHash {
+		weights[r] = xxhash.Sum64String(string(r) + "\x00" + string(n))
+	}
+	slices.SortFunc(byHash, func(a, b NodeID) int { return cmp.Compare(weights[a], weights[b]) })
+	return append(byHash[:min(len(byHash), 4)], o.Ranked[0])
+}
+
+// Border returns the data centre that links a region to the others: the first by name with a live node.
+func (f *Fleet) Border(region Region, reachable func(NodeID) bool) DataCentre {
+	var border DataCentre
+	for _, r := range f.records {
+		if r.Region != region || r.Lead == 0 || r.State != Serving || !reachable(r.Node) {
+			continue
+		}
+		if border == "" || r.DataCentre < border {
+			border = r.DataCentre
+		}
+	}
+	return border
+}
+
+// Leads returns the leading node of each data centre that has one.
+func (f *Fleet) Leads() map[DataCentre]Record {
+	leads := map[DataCentre]Record{}
+	for _, r := range f.records {
+		if r.Lead == 0 || !r.Live() {
+			continue
+		}
+		if old, ok := leads[r.DataCentre]; !ok || r.Lead > old.Lead || (r.Lead == old.Lead && r.Node < old.Node) {
+			leads[r.DataCentre] = r
+		}
+	}
+	return leads
+}
--- /dev/null
+++ b/fleet/record.go
@@ -0,0 +1,199 @@
+package fleet
+
+import (
+	"encoding/binary"
+	"slices"
+
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/cassialead/cassialead/config"
+)
+
+// NodeID names a node; it is the name of its VM.
+type NodeID string
+
+// DataCentre names a data centre.
+type DataCentre string
+
+// Region names a region.
+type Region string
+
+// Address is an IP address with a port.
+type Address string
+
+// Incarnation tells a node's restarts apart; it is the start time in Unix milliseconds.
+type Incarnation uint64
+
+// Sequence counts the changes of a record within an incarnation.
+type Sequence uint64
+
+// Term orders the leads of a data centre; it is the store index of the lease's entry.
+type Term uint64
+
+// State says whether a node takes new work.
+type State uint8
+
+// The states of a node.
+const (
+	Serving State = iota
+	Leaving
+	Gone
+)
+
+// String returns the state's name.
+func (s State) String() string {
+	switch s {
+	case Serving:
+		return "serving"
+	case Leaving:
+		return "leaving"
+	}
+	return "gone"
+}
+
+// Target is what a target announces to the node on its VM.
+type Target struct {
+	Service config.ServiceName `codec:"s" json:"service"`
+	Slots   int                `codec:"n" json:"slots"`
+}
+
+// Record is what a node publishes about itself; only its owner raises the sequence.
+type Record struct {
+	Node        NodeID      `codec:"n" json:"node"`
+	Incarnation Incarnation `codec:"i" json:"incarnation"`
+	Sequence    Sequence    `codec:"q" json:"sequence"`
+	State       State       `codec:"s" json:"state"`
+	DataCentre  DataCentre  `codec:"d" json:"data_centre"`
+	Region      Region      `codec:"r" json:"region"`
+	// Call is where the node takes calls, Link where it takes links of other nodes.
+	Call    Address  `codec:"c" json:"call"`
+	Link    Address  `codec:"l" json:"link"`
+	Targets []Target `codec:"t,omitempty" json:"targets,omitempty"`
+	// Lead is the term in which the node leads its data centre, or zero.
+	Lead Term `codec:"e,omitempty" json:"lead,omitempty"`
+}
+
+// Newer reports whether r replaces o: a later incarnation or sequence wins, and at equal ones a declared loss does.
+func (r Record) Newer(o Record) bool {
+	if r.Incarnation != o.Incarnation {
+		return r.Incarnation > o.Incarnation
+	}
+	if r.Sequence != o.Sequence {
+		return r.Sequence > o.Sequence
+	}
+	return r.State == Gone && o.State != Gone
+}
+
+// Live reports whether the node is part of the fleet.
+func (r Record) Live() bool { return r.State != Gone }
+
+func (r Record) stamp() uint64 {
+	var b [17]byte
+	binary.LittleEndian.PutUint64(b[:], uint64(r.Incarnation))
+	binary.LittleEndian.PutUint64(b[8:], uint64(r.Sequence))
+	if r.State == Gone {
+		b[16] = 1
+	}
+	h := xxhash.New()
+	_, _ = h.WriteString(string(r.Node))
+	_, _ = h.Write(b[:])
+	return h.Sum64()
+}
+
+// Buckets is the number of digests that summarise all records.
+const Buckets = 128
+
+// Digests summarises all records for anti-entropy.
+type Digests [Buckets]uint64
+
+func bucketOf(n NodeID) int { return int(xxhash.Sum64String(string(n)) % Buckets) }
+
+// Fleet is the set of records that a node holds.
+type Fleet struct {
+	records map[NodeID]Record
+	digests Digests
+	// revision counts the changes that alter order, shape or targets.
+	revision uint64
+	order    map[DataCentre]*Order
+}
+
+// New returns an empty fleet.
+func New() *Fleet {
+	return &Fleet{records: map[NodeID]Record{}, order: map[DataCentre]*Order{}}
+}
+
+// Merge takes a record if it is newer than the one held and reports whether it was.
+func (f *Fleet) Merge(r Record) bool {
+	old, known := f.records[r.Node]
+	if known && !r.Newer(old) {
+		return false
+	}
+	b := bucketOf(r.Node)
+	if known {
+		f.digests[b] ^= old.stamp()
+	}
+	f.digests[b] ^= r.stamp()
+	f.records[r.Node] = r
+	f.revision++
+	if !known || old.State != r.State || old.Lead != r.Lead || old.DataCentre != r.DataCentre {
+		delete(f.order, r.DataCentre)
+		delete(f.order, old.DataCentre)
+	}
+	return true
+}
+
+// Forget drops a record, as is done with a node that has been gone for long.
+func (f *Fleet) Forget(n NodeID) {
+	if old, ok := f.records[n]; ok {
+		f.digests[bucketOf(n)] ^= old.stamp()
+		delete(f.records, n)
+		f.revision++
+	}
+}
+
+// Get returns a node's record.
+func (f *Fleet) Get(n NodeID) (Record, bool) {
+	r, ok := f.records[n]
+	return r, ok
+}
+
+// Len returns how many records are held, lost nodes included.
+func (f *Fleet) Len() int { return len(f.records) }
+
+// Revision changes whenever any record does.
+func (f *Fleet) Revision() uint64 { return f.revision }
+
+// Digests returns the summary of all records.
+func (f *Fleet) Digests() Digests { return f.digests }
+
+// All returns every record, by node.
+func (f *Fleet) All() []Record {
+	return f.collect(func(Record) bool { return true })
+}
+
+// Differing returns the records in the buckets whose digest differs from d.
+func (f *Fleet) Differing(d Digests) []Record {
+	if d == f.digests {
+		return nil
+	}
+	return f.collect(func(r Record) bool {
+		b := bucketOf(r.Node)
+		return f.digests[b] != d[b]
+	})
+}
+
+func (f *Fleet) collect(keep func(Record) bool) []Record {
+	var rs []Record
+	for _, r := range f.records {
+		if keep(r) {
+			rs = append(rs, r)
+		}
+	}
+	slices.SortFunc(rs, func(a, b Record) int {
+		if a.Node < b.Node {
+			return -1
+		}
+		return 1
+	})
+	return rs
+}
--- /dev/null
+++ b/ledger/doc.go
@@ -0,0 +1,2 @@
+// Package ledger keeps what is known of calls that may run at most once.
+package ledger
--- /dev/null
+++ b/link/codec.go
@@ -0,0 +1,159 @@
+package link
+
+import (
+	"reflect"
+
+	"github.com/cockroachdb/errors"
+	"github.com/klauspost/compress/zstd"
+	"github.com/ugorji/go/codec"
+
+	"github.com/cassialead/cassialead/control"
+)
+
+const (
+	// MaxFrameBytes is the largest frame taken from another node.
+	MaxFrameBytes    = 4 << 20
+	maxMessageBytes  = 16 << 20 // after decompression
+	compressAbove    = 512      // bytes; smaller messages do not shrink
+	headerBytes      = 2        // kind and encoding
+	encodingPlain    = 0
+	encodingZstd     = 1
+	maxDecodeDepth   = 32
+	maxInitialLength = 4096 // elements allocated before they have been seen
+)
+
+// kind is the first byte of a frame; numbers are never reused.
+type kind byte
+
+const (
+	kindHello kind = iota + 1
+	kindWelcome
+	kindBeat
+	kindOffer
+	kindRequest
+	kindRecords
+	kindDigests
+	kindAck
+	kindSuspect
+)
+
+// The faults of a frame.
+var (
+	// ErrMalformed marks a frame that can't be decoded.
+	ErrMalformed = errors.New("malformed frame")
+	// ErrUnknownKind marks a message of a later release, which may be skipped.
+	ErrUnknownKind = errors.New("unknown message kind")
+)
+
+var (
+	handle   = newHandle()
+	packer   = must(zstd.NewWriter(nil, zstd.WithEncoderConcurrency(1), zstd.WithEncoderLevel(zstd.SpeedDefault), zstd.WithWindowSize(1<<20)))
+	unpacker = must(zstd.NewReader(nil, zstd.WithDecoderConcurrency(1), zstd.WithDecoderMaxMemory(maxMessageBytes)))
+)
+
+func must[T any](v T, err error) T {
+	if err != nil {
+		panic(err)
+	}
+	return v
+}
+
+func newHandle() *codec.CborHandle {
+	h := &codec.CborHandle{}
+	h.Canonical = true
+	h.MaxDepth = maxDecodeDepth
+	h.MaxInitLen = maxInitialLength
+	h.MapType = reflect.TypeOf(map[string]any(nil))
+	return h
+}
+
+func kindOf(m control.Message) kind {
+	switch m.(type) {
+	case control.Hello:
+		return kindHello
+	case control.Welcome:
+		return kindWelcome
+	case control.Beat:
+		return kindBeat
+	case control.Offer:
+		return kindOffer
+	case control.Request:
+		return kindRequest
+	case control.Records:
+		return kindRecords
+	case control.Digests:
+		return kindDigests
+	case control.Ack:
+		return kindAck
+	case control.Suspect:
+		return kindSuspect
+	}
+	return 0
+}
+
+// Encode returns the frame of a message.
+func Encode(m control.Message) ([]byte, error) {
+	var body []byte
+	if err := codec.NewEncoderBytes(&body, handle).Encode(m); err != nil {
+		return nil, errors.Wrapf(err, "encode %T", m)
+	}
+	frame := []byte{byte(kindOf(m)), encodingPlain}
+	if len(body) <= compressAbove {
+		return append(frame, body...), nil
+	}
+	frame[1] = encodingZstd
+	return packer.EncodeAll(body, frame), nil
+}
+
+// Decode returns the message of a frame, or ErrMalformed or ErrUnknownKind.
+func Decode(frame []byte) (control.Message, error) {
+	if len(frame) < headerBytes {
+		return nil, errors.Wrap(ErrMalformed, "short frame")
+	}
+	body := frame[headerBytes:]
+	switch frame[1] {
+	case encodingPlain:
+	case encodingZstd:
+		var err error
+		if body, err = unpacker.DecodeAll(body, nil); err != nil {
+			return nil, errors.Mark(errors.Wrap(err, "decompress"), ErrMalformed)
+		}
+	default:
+		return nil, errors.Wrapf(ErrMalformed, "encoding %d", frame[1])
+	}
+	switch kind(frame[0]) {
+	case kindHello:
+		return decode[control.Hello](body)
+	case kindWelcome:
+		return decode[control.Welcome](body)
+	case kindBeat:
+		return decode[control.Beat](body)
+	case kindOffer:
+		return decode[control.Offer](body)
+	case kindRequest:
+		return decode[control.Request](body)
+	case kindRecords:
+		return decode[control.Records](body)
+	case kindDigests:
+		return decode[control.Digests](body)
+	case kindAck:
+		return decode[control.Ack](body)
+	case kindSuspect:
+		return decode[control.Suspect](body)
+	}
+	return nil, errors.Wrapf(ErrUnknownKind, "kind %d", frame[0])
+}
+
+func decode[M control.Message](body []byte) (m control.Message, err error) {
+	// The codec panics on some malformed input.
+	defer func() {
+		if r := recover(); r != nil {
+			m, err = nil, errors.Wrapf(ErrMalformed, "%v", r)
+		}
+	}()
+	var v M
+	if err := codec.NewDecoderBytes(body, handle).Decode(&v); err != nil {
+		return nil, errors.Mark(errors.Wrap(err, "decode"), ErrMalformed)
+	}
+	return v, nil
+}
--- /dev/null
+++ b/link/conn.go
@@ -0,0 +1,203 @@
+package link
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+	"github.com/cockroachdb/errors"
+	"github.com/gorilla/websocket"
+
+	"github.com/cassialead/cassialead/control"
+	"github.com/cassialead/cassialead/fleet"
+)
+
+const (
+	// Path is where a node takes links.
+	Path = "/link"
+
+	handshakeTimeout = 2 * time.Second
+	writeTimeout     = 3 * time.Second
+	readTimeout      = 10 * time.Second
+	queueLength      = 256 // messages waiting to be written; a link that is further behind is closed
+	bufferBytes      = 2048
+)
+
+// Traffic counts the bytes and messages of all links of a node.
+type Traffic struct {
+	sent, received, unknown *metrics.Counter
+}
+
+// NewTraffic returns counters registered in set.
+func NewTraffic(set *metrics.Set) *Traffic {
+	return &Traffic{
+		sent:     set.NewCounter(`cassialead_link_bytes_total{direction="sent"}`),
+		received: set.NewCounter(`cassialead_link_bytes_total{direction="received"}`),
+		unknown:  set.NewCounter(`cassialead_link_unknown_messages_total`),
+	}
+}
+
+// Bytes returns the bytes sent and received so far, WebSocket framing included.
+func (t *Traffic) Bytes() (sent, received uint64) { return t.sent.Get(), t.received.Get() }
+
+// Conn is one link.
+type Conn struct {
+	ws      *websocket.Conn
+	traffic *Traffic
+	queue   chan control.Message
+	ended   chan struct{}
+	once    sync.Once
+}
+
+// countingConn counts the bytes of a socket.
+type countingConn struct {
+	net.Conn
+	traffic *Traffic
+}
+
+func (c countingConn) Read(p []byte) (int, error) {
+	n, err := c.Conn.Read(p)
+	c.traffic.received.Add(n)
+	return n, err
+}
+
+func (c countingConn) Write(p []byte) (int, error) {
+	n, err := c.Conn.Write(p)
+	c.traffic.sent.Add(n)
+	return n, err
+}
+
+// Listener wraps a listener so that the bytes of its connections are counted.
+func (t *Traffic) Listener(l net.Listener) net.Listener { return countingListener{l, t} }
+
+type countingListener struct {
+	net.Listener
+	traffic *Traffic
+}
+
+func (l countingListener) Accept() (net.Conn, error) {
+	c, err := l.Listener.Accept()
+	if err != nil {
+		return nil, err
+	}
+	return countingConn{c, l.traffic}, nil
+}
+
+// Dial opens a link to a node.
+func Dial(ctx context.Context, a fleet.Address, t *Traffic) (*Conn, error) {
+	d := websocket.Dialer{
+		HandshakeTimeout: handshakeTimeout,
+		ReadBufferSize:   bufferBytes,
+		WriteBufferSize:  bufferBytes,
+		NetDialContext: func(ctx context.Context, network, addr string) (net.Conn, error) {
+			var nd net.Dialer
+			c, err := nd.DialContext(ctx, network, addr)
+			if err != nil {
+				return nil, err
+			}
+			return countingConn{c, t}, nil
+		},
+	}
+	ws, resp, err := d.DialContext(ctx, "ws://"+string(a)+Path, nil)
+	if err != nil {
+		return nil, errors.Wrapf(err, "link to %s", a)
+	}
+	_ = resp.Body.Close()
+	return newConn(ws, t), nil
+}
+
+// Accept turns a request into a link.
+func Accept(w http.ResponseWriter, r *http.Request, t *Traffic) (*Conn, error) {
+	u := websocket.Upgrader{HandshakeTimeout: handshakeTimeout, ReadBufferSize: bufferBytes, WriteBufferSize: bufferBytes}
+	ws, err := u.Upgrade(w, r, nil)
+	if err != nil {
+		return nil, errors.Wrap(err, "accept link")
+	}
+	return newConn(ws, t), nil
+}
+
+func newConn(ws *websocket.Conn, t *Traffic) *Conn {
+	ws.SetReadLimit(MaxFrameBytes)
+	return &Conn{ws: ws, traffic: t, queue: make(chan control.Message, queueLength), ended: make(chan struct{})}
+}
+
+// Send queues a message; a link whose queue is full is closed.
+func (c *Conn) Send(m control.Message) {
+	select {
+	case c.queue <- m:
+	case <-c.ended:
+	default:
+		c.end()
+	}
+}
+
+// Close ends the link after what has been queued.
+func (c *Conn) Close() {
+	select {
+	case c.queue <- nil:
+	default:
+		c.end()
+	}
+}
+
+func (c *Conn) end() {
+	c.once.Do(func() {
+		close(c.ended)
+		_ = c.ws.Close()
+	})
+}
+
+// Run passes each message to receive until the link ends, and returns why.
+func (c *Conn) Run(receive func(control.Message)) error {
+	go c.write()
+	defer c.end()
+	for {
+		if err := c.ws.SetReadDeadline(time.Now().Add(readTimeout)); err != nil {
+			return errors.Wrap(err, "link")
+		}
+		_, frame, err := c.ws.ReadMessage()
+		if err != nil {
+			return errors.Wrap(err, "link")
+		}
+		m, err := Decode(frame)
+		switch {
+		case errors.Is(err, ErrUnknownKind):
+			c.traffic.unknown.Inc()
+		case err != nil:
+			return err
+		default:
+			receive(m)
+		}
+	}
+}
+
+func (c *Conn) write() {
+	defer c.end()
+	for {
+		select {
+		case <-c.ended:
+			return
+		case m := <-c.queue:
+			if m == nil {
+				return
+			}
+			if err := c.writeMessage(m); err != nil {
+				return
+			}
+		}
+	}
+}
+
+func (c *Conn) writeMessage(m control.Message) error {
+	frame, err := Encode(m)
+	if err != nil {
+		return err
+	}
+	if err := c.ws.SetWriteDeadline(time.Now().Add(writeTimeout)); err != nil {
+		return err
+	}
+	return c.ws.WriteMessage(websocket.BinaryMessage, frame)
+}
--- /dev/null
+++ b/store/client.go
@@ -0,0 +1,209 @@
+package store
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"io"
+	"net/http"
+	"net/url"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+	"github.com/cockroachdb/errors"
+)
+
+const (
+	callTimeout   = 2 * time.Second
+	watchGrace    = 5 * time.Second
+	maxValueBytes = 2 << 20
+)
+
+// Client speaks the HTTP key-value protocol with blocking queries, check-and-set and sessions.
+type Client struct {
+	base  string
+	http  *http.Client
+	calls map[string]*metrics.Counter
+}
+
+var _ Port = (*Client)(nil)
+
+// New returns a client of the store at base, a URL such as http://192.0.2.1:8500; it counts calls by kind in set.
+func New(base string, transport http.RoundTripper, set *metrics.Set) *Client {
+	c := &Client{base: strings.TrimSuffix(base, "/"), http: &http.Client{Transport: transport}}
+	c.calls = map[string]*metrics.Counter{}
+	for _, kind := range []string{"get", "list", "watch", "swap", "delete", "grant", "renew", "acquire", "revoke"} {
+		c.calls[kind] = set.GetOrCreateCounter(`cassialead_store_calls_total{kind="` + kind + `"}`)
+	}
+	return c
+}
+
+type wireEntry struct {
+	Key         string
+	Value       []byte
+	ModifyIndex uint64
+	Session     string
+}
+
+func (e wireEntry) entry() Entry {
+	return Entry{Key: Key(e.Key), Value: e.Value, Index: Index(e.ModifyIndex), Lease: LeaseID(e.Session)}
+}
+
+// Get returns the entry, or ErrAbsent or ErrUnavailable.
+func (c *Client) Get(ctx context.Context, key Key) (Entry, error) {
+	entries, err := c.read(ctx, "get", key, nil, callTimeout)
+	if err != nil {
+		return Entry{}, err
+	}
+	return entries[0], nil
+}
+
+// List returns the entries under a prefix, or ErrUnavailable.
+func (c *Client) List(ctx context.Context, prefix Key) ([]Entry, error) {
+	entries, err := c.read(ctx, "list", prefix, url.Values{"recurse": {"true"}}, callTimeout)
+	if errors.Is(err, ErrAbsent) {
+		return nil, nil
+	}
+	return entries, err
+}
+
+// Watch waits until the entry's index passes after, or until wait ends.
+func (c *Client) Watch(ctx context.Context, key Key, after Index, wait time.Duration) (Entry, error) {
+	query := url.Values{
+		"index": {strconv.FormatUint(uint64(after), 10)},
+		"wait":  {strconv.FormatInt(wait.Milliseconds(), 10) + "ms"},
+	}
+	entries, err := c.read(ctx, "watch", key, query, wait+watchGrace)
+	if err != nil {
+		return Entry{}, err
+	}
+	return entries[0], nil
+}
+
+func (c *Client) read(ctx context.Context, kind string, key Key, query url.Values, timeout time.Duration) ([]Entry, error) {
+	status, body, err := c.call(ctx, kind, http.MethodGet, "/v1/kv/"+string(key), query, nil, timeout)
+	switch {
+	case err != nil:
+		return nil, errors.Mark(err, ErrUnavailable)
+	case status == http.StatusNotFound:
+		return nil, errors.Wrapf(ErrAbsent, "key %q", key)
+	case status != http.StatusOK:
+		return nil, errors.Wrapf(ErrUnavailable, "%s %q: status %d", kind, key, status)
+	}
+	var wire []wireEntry
+	if err := json.Unmarshal(body, &wire); err != nil || len(wire) == 0 {
+		return nil, errors.Wrapf(ErrUnavailable, "%s %q: unreadable answer", kind, key)
+	}
+	entries := make([]Entry, len(wire))
+	for i, w := range wire {
+		entries[i] = w.entry()
+	}
+	return entries, nil
+}
+
+// Swap writes the value if the entry still has index expect; zero expects an absent key.
+func (c *Client) Swap(ctx context.Context, key Key, value []byte, expect Index) error {
+	return c.write(ctx, "swap", http.MethodPut, key, url.Values{"cas": {strconv.FormatUint(uint64(expect), 10)}}, value)
+}
+
+// Delete removes the key; an absent key is no error.
+func (c *Client) Delete(ctx context.Context, key Key) error {
+	return c.write(ctx, "delete", http.MethodDelete, key, nil, nil)
+}
+
+// Acquire writes the value under the lease, or returns ErrRefused while another lease holds the key.
+func (c *Client) Acquire(ctx context.Context, key Key, value []byte, lease LeaseID) error {
+	return c.write(ctx, "acquire", http.MethodPut, key, url.Values{"acquire": {string(lease)}}, value)
+}
+
+func (c *Client) write(ctx context.Context, kind, method string, key Key, query url.Values, value []byte) error {
+	status, body, err := c.call(ctx, kind, method, "/v1/kv/"+string(key), query, value, callTimeout)
+	if err != nil {
+		return errors.Mark(err, ErrUnknownOutcome)
+	}
+	if err := writeStatus(status); err != nil {
+		return errors.Wrapf(err, "%s %q: status %d", kind, key, status)
+	}
+	switch strings.TrimSpace(string(body)) {
+	case "true":
+		return nil
+	case "false":
+		return errors.Wrapf(ErrRefused, "%s %q", kind, key)
+	}
+	return errors.Wrapf(ErrUnknownOutcome, "%s %q: unreadable answer", kind, key)
+}
+
+// writeStatus maps a status to an outcome; only a rate limit says that the store did not take the write.
+func writeStatus(status int) error {
+	switch {
+	case status == http.StatusOK:
+		return nil
+	case status == http.StatusNotFound:
+		return ErrAbsent
+	case status == http.StatusTooManyRequests:
+		return ErrUnavailable
+	}
+	return ErrUnknownOutcome
+}
+
+// Grant creates a lease that lapses ttl after its last renewal.
+func (c *Client) Grant(ctx context.Context, ttl time.Duration) (LeaseID, error) {
+	body := []byte(`{"TTL":"` + ttl.String() + `","Behavior":"delete"}`)
+	status, answer, err := c.call(ctx, "grant", http.MethodPut, "/v1/session/create", nil, body, callTimeout)
+	if err != nil {
+		return "", errors.Mark(err, ErrUnknownOutcome)
+	}
+	if err := writeStatus(status); err != nil {
+		return "", errors.Wrapf(err, "grant: status %d", status)
+	}
+	var created struct{ ID string }
+	if err := json.Unmarshal(answer, &created); err != nil || created.ID == "" {
+		return "", errors.Wrap(ErrUnknownOutcome, "grant: unreadable answer")
+	}
+	return LeaseID(created.ID), nil
+}
+
+// Renew extends a lease, or returns ErrAbsent once it has lapsed.
+func (c *Client) Renew(ctx context.Context, lease LeaseID) error {
+	return c.session(ctx, "renew", "/v1/session/renew/", lease)
+}
+
+// Revoke ends a lease and deletes the keys that it holds.
+func (c *Client) Revoke(ctx context.Context, lease LeaseID) error {
+	return c.session(ctx, "revoke", "/v1/session/destroy/", lease)
+}
+
+func (c *Client) session(ctx context.Context, kind, path string, lease LeaseID) error {
+	status, _, err := c.call(ctx, kind, http.MethodPut, path+string(lease), nil, nil, callTimeout)
+	if err != nil {
+		return errors.Mark(err, ErrUnknownOutcome)
+	}
+	return errors.Wrapf(writeStatus(status), "%s lease", kind)
+}
+
+func (c *Client) call(ctx context.Context, kind, method, path string, query url.Values, body []byte,
+	timeout time.Duration) (int, []byte, error) {
+	c.calls[kind].Inc()
+	ctx, cancel := context.WithTimeout(ctx, timeout)
+	defer cancel()
+	target := c.base + path
+	if len(query) > 0 {
+		target += "?" + query.Encode()
+	}
+	req, err := http.NewRequestWithContext(ctx, method, target, bytes.NewReader(body))
+	if err != nil {
+		return 0, nil, errors.Wrapf(err, "%s", kind)
+	}
+	resp, err := c.http.Do(req)
+	if err != nil {
+		return 0, nil, errors.Wrapf(err, "%s", kind)
+	}
+	defer func() { _ = resp.Body.Close() }()
+	answer, err := io.ReadAll(io.LimitReader(resp.Body, maxValueBytes*2))
+	if err != nil {
+		return 0, nil, errors.Wrapf(err, "%s", kind)
+	}
+	return resp.StatusCode, answer, nil
+}
