measure: report convergence, bytes, processor time and memory of a fleet

Cause: decisions about the tree and the lease need figures from whole nodes. It also links leads by the store's list, since the records of two new leads could miss each other.

--- a/cmds/demo.go
+++ b/cmds/demo.go
@@ -2,5 +2,4 @@
 
 import "github.com/spf13/cobra"
 
-func (a *app) demoCommand() *cobra.Command    { return &cobra.Command{Use: "demo"} }
-func (a *app) measureCommand() *cobra.Command { return &cobra.Command{Use: "measure"} }
+func (a *app) demoCommand() *cobra.Command { return &cobra.Command{Use: "demo"} }
--- /dev/null
+++ b/cmds/measure.go
@@ -0,0 +1,40 @@
+package cmds
+
+import (
+	"time"
+
+	"github.com/spf13/cobra"
+
+	"github.com/cassialead/cassialead/measure"
+)
+
+func (a *app) measureCommand() *cobra.Command {
+	cmd := &cobra.Command{Use: "measure", Short: "Run the measurements behind the capacity figures on this machine"}
+	cmd.AddCommand(a.measureControl())
+	return cmd
+}
+
+func (a *app) measureControl() *cobra.Command {
+	o := measure.ControlOptions{Progress: func(line string) { _, _ = a.errOut.Write([]byte(line + "\n")) }}
+	cmd := &cobra.Command{
+		Use:     "control",
+		Short:   "Measure convergence, control bytes, processor time and memory at several fleet sizes",
+		Example: "  cassialead measure control --sizes 48,96,192 --output json",
+		Args:    cobra.NoArgs,
+		RunE: func(cmd *cobra.Command, _ []string) error {
+			r, err := measure.Control(cmd.Context(), o)
+			if err != nil {
+				return err
+			}
+			return a.print(r, func() { r.Print(a.out) })
+		},
+	}
+	f := cmd.Flags()
+	f.IntSliceVar(&o.Sizes, "sizes", []int{24, 48, 96, 192}, "numbers of nodes")
+	f.IntVar(&o.Centres, "centres", 3, "data centres, in up to three regions")
+	f.IntVar(&o.Changes, "changes", 20, "configuration changes at each size")
+	f.DurationVar(&o.ChangeInterval, "interval", 200*time.Millisecond, "pause between changes")
+	f.IntVar(&o.Services, "services", 240, "services in the document")
+	f.Uint64Var(&o.Seed, "seed", 1, "seed of all random choices")
+	return cmd
+}
--- a/control/core.go
+++ b/control/core.go
@@ -88,6 +88,7 @@
 	watchNext  time.Time
 	watchTries backoff
 	leadsNext  time.Time
+	listed     []fleet.Record
 	behind     bool
 	whole      bool // the next watch asks for the whole document
 }
--- a/control/lead.go
+++ b/control/lead.go
@@ -22,7 +22,11 @@
 		c.do(WatchHead{Held: held})
 	}
 	if !c.now.Before(c.store.leadsNext) {
-		c.store.leadsNext = c.now.Add(listLeadsPeriod/2 + c.jitter(listLeadsPeriod))
+		period := listLeadsPeriod
+		if c.unlinked() || c.now.Sub(c.started) < listLeadsPeriod {
+			period = listLeadsPeriod / 15
+		}
+		c.store.leadsNext = c.now.Add(period/2 + c.jitter(period))
 		c.do(ListLeads{})
 	}
 }
@@ -131,10 +135,43 @@
 	}
 }
 
+// leadsSeen notes the leads that the store lists; the records of their owners may not have come yet.
 func (c *Core) leadsSeen(e LeadsSeen) {
+	c.store.listed = e.Leads
 	for _, r := range e.Leads {
-		c.merge(r, nil)
+		r.Lead = 0
+		if _, known := c.fleet.Get(r.Node); !known {
+			c.merge(r, nil)
+		}
+	}
+}
+
+// leads returns the lead of each data centre by the records and, where it lists a later term, by the store.
+func (c *Core) leads() map[fleet.DataCentre]fleet.Record {
+	leads := c.fleet.Leads()
+	for _, l := range c.store.listed {
+		r, known := c.fleet.Get(l.Node)
+		if known && r.Live() && l.Lead > leads[l.DataCentre].Lead {
+			leads[l.DataCentre] = r
+		}
+	}
+	return leads
+}
+
+// unlinked reports whether a data centre's lead is unknown or not linked, so that the store is worth asking again.
+func (c *Core) unlinked() bool {
+	leads := c.leads()
+	for _, r := range c.fleet.Centres() {
+		if _, ok := leads[r]; !ok {
+			return true
+		}
+	}
+	for n := range c.wantedPeers() {
+		if !c.linked(n) {
+			return true
+		}
 	}
+	return false
 }
 
 // maintainPeers keeps a root linked with the leads of the other data centres; one pair crosses between two regions.
--- a/control/peer.go
+++ b/control/peer.go
@@ -8,36 +8,40 @@
 	"github.com/cassialead/cassialead/fleet"
 )
 
-// wantedPeers returns the leads that this lead should be linked with.
+// wantedPeers returns the leads that this lead should be linked with: those of its region, and from the region's
+// border those of the other regions' borders.
 func (c *Core) wantedPeers() map[fleet.NodeID]fleet.Record {
 	wanted := map[fleet.NodeID]fleet.Record{}
-	reachable := func(n fleet.NodeID) bool { return n == c.self.Node || !c.unreachable(n) }
-	atBorder := c.fleet.Border(c.self.Region, reachable) == c.self.DataCentre
-	borders := map[fleet.Region]fleet.DataCentre{}
-	for dc, lead := range c.fleet.Leads() {
-		if dc == c.self.DataCentre {
-			continue
-		}
-		if lead.Region == c.self.Region {
+	leads := c.leads()
+	borders := c.borders(leads)
+	atBorder := borders[c.self.Region] == c.self.DataCentre
+	for dc, lead := range leads {
+		switch {
+		case dc == c.self.DataCentre:
+		case lead.Region == c.self.Region:
 			wanted[lead.Node] = lead
-			continue
-		}
-		if !atBorder {
-			continue
-		}
-		border, ok := borders[lead.Region]
-		if !ok {
-			border = c.fleet.Border(lead.Region, reachable)
-			borders[lead.Region] = border
-		}
 		// With every lead of a region unreachable all of them are tried.
-		if border == dc || border == "" {
+		case atBorder && (borders[lead.Region] == dc || borders[lead.Region] == ""):
 			wanted[lead.Node] = lead
 		}
 	}
 	return wanted
 }
 
+// borders returns the data centre that links each region to the others: the first by name with a lead in reach.
+func (c *Core) borders(leads map[fleet.DataCentre]fleet.Record) map[fleet.Region]fleet.DataCentre {
+	borders := map[fleet.Region]fleet.DataCentre{c.self.Region: c.self.DataCentre}
+	for dc, lead := range leads {
+		if c.unreachable(lead.Node) {
+			continue
+		}
+		if b, ok := borders[lead.Region]; !ok || dc < b {
+			borders[lead.Region] = dc
+		}
+	}
+	return borders
+}
+
 // unreachable reports whether several attempts to link with a node have failed in a row.
 func (c *Core) unreachable(n fleet.NodeID) bool {
 	b := c.retry[n]
--- a/fleet/order.go
+++ b/fleet/order.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"maps"
 	"math"
 	"slices"
 
@@ -82,30 +83,30 @@
 	return append(byHash[:min(len(byHash), 4)], o.Ranked[0])
 }
 
-// Border returns the data centre that links a region to the others: the first by name with a live node.
-func (f *Fleet) Border(region Region, reachable func(NodeID) bool) DataCentre {
-	var border DataCentre
+// Centres returns the data centres with live nodes.
+func (f *Fleet) Centres() []DataCentre {
+	seen := map[DataCentre]bool{}
 	for _, r := range f.records {
-		if r.Region != region || r.Lead == 0 || r.State != Serving || !reachable(r.Node) {
-			continue
-		}
-		if border == "" || r.DataCentre < border {
-			border = r.DataCentre
+		if r.Live() {
+			seen[r.DataCentre] = true
 		}
 	}
-	return border
+	return slices.Sorted(maps.Keys(seen))
 }
 
-// Leads returns the leading node of each data centre that has one.
+// Leads returns the leading node of each data centre that has one; the result is shared and must not be changed.
 func (f *Fleet) Leads() map[DataCentre]Record {
-	leads := map[DataCentre]Record{}
+	if f.leads != nil && f.leadsAt == f.revision {
+		return f.leads
+	}
+	f.leads, f.leadsAt = map[DataCentre]Record{}, f.revision
 	for _, r := range f.records {
 		if r.Lead == 0 || !r.Live() {
 			continue
 		}
-		if old, ok := leads[r.DataCentre]; !ok || r.Lead > old.Lead || (r.Lead == old.Lead && r.Node < old.Node) {
-			leads[r.DataCentre] = r
+		if old, ok := f.leads[r.DataCentre]; !ok || r.Lead > old.Lead || (r.Lead == old.Lead && r.Node < old.Node) {
+			f.leads[r.DataCentre] = r
 		}
 	}
-	return leads
+	return f.leads
 }
--- a/fleet/record.go
+++ b/fleet/record.go
@@ -115,6 +115,9 @@
 	// revision counts the changes that alter order, shape or targets.
 	revision uint64
 	order    map[DataCentre]*Order
+	// leads is computed at revision leadsAt.
+	leads   map[DataCentre]Record
+	leadsAt uint64
 }
 
 // New returns an empty fleet.
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -194,3 +194,8 @@
 	}
 	return e
 }
+
+// Endpoints returns how many targets of a service the gateway can choose from.
+func (g *Gateway) Endpoints(s config.ServiceName) int {
+	return len(g.table.Load().Endpoints(s, config.SpillAnywhere))
+}
--- a/link/conn.go
+++ b/link/conn.go
@@ -143,6 +143,9 @@
 	}
 }
 
+// Abort ends the link at once.
+func (c *Conn) Abort() { c.end() }
+
 func (c *Conn) end() {
 	c.once.Do(func() {
 		close(c.ended)
--- /dev/null
+++ b/measure/control.go
@@ -0,0 +1,220 @@
+package measure
+
+import (
+	"context"
+	"fmt"
+	"runtime"
+	"syscall"
+	"time"
+
+	"github.com/cassialead/cassialead/config"
+	"github.com/cassialead/cassialead/trial"
+)
+
+// ControlOptions choose what to measure of the control traffic.
+type ControlOptions struct {
+	Sizes   []int
+	Centres int
+	// Changes are applied at each size, ChangeInterval apart.
+	Changes        int
+	ChangeInterval time.Duration
+	// Services and routes fill the document.
+	Services int
+	Seed     uint64
+	Progress func(string)
+}
+
+const (
+	settleLimit = 60 * time.Second
+	idleWindow  = 10 * time.Second
+)
+
+// Control measures convergence, bytes, processor time, memory and store calls at several fleet sizes.
+func Control(ctx context.Context, o ControlOptions) (*Report, error) {
+	r := &Report{Command: fmt.Sprintf("cassialead measure control --sizes %v --centres %d --changes %d --services %d", o.Sizes,
+		o.Centres, o.Changes, o.Services), Seed: o.Seed,
+		Columns: []string{"nodes", "start s", "p50 ms", "p99 ms", "max ms", "idle B/s med", "idle B/s max", "B/change med",
+			"B/change max", "idle cpu %", "ms cpu/change", "MB/node", "store reads/s", "store writes/s", "lead loss s", "storm s"}}
+	for _, n := range o.Sizes {
+		row, err := controlAt(ctx, o, n)
+		if err != nil {
+			return r, fmt.Errorf("%d nodes: %w", n, err)
+		}
+		r.Rows = append(r.Rows, row)
+		o.Progress(fmt.Sprintf("%d nodes done", n))
+	}
+	for _, c := range r.Columns[1:] {
+		r.Fit(c)
+	}
+	r.Notes = append(r.Notes, "idle cpu % is of one core and per node; bytes are TCP payload in both directions, per node")
+	return r, nil
+}
+
+// Document returns a document with a number of services and as many routes.
+func Document(services int) config.Document {
+	d := config.Document{"defaults": {"timeout": "5s", "retries": "2"}}
+	for i := range services {
+		name := fmt.Sprintf("service-%03d", i)
+		d[config.SectionName("service "+name)] = config.Section{"calls": "idempotent"}
+		d[config.SectionName("route "+name)] = config.Section{"path": "/" + name, "service": name}
+	}
+	return d
+}
+
+func controlAt(ctx context.Context, o ControlOptions, n int) (Row, error) {
+	runtime.GC()
+	before := heap()
+	started := time.Now()
+	f, err := trial.New(trial.Uniform(n, o.Centres), o.Seed, nil)
+	if err != nil {
+		return nil, err
+	}
+	defer f.Close()
+	doc := Document(o.Services)
+	v, err := f.Apply(ctx, doc, "first")
+	if err != nil {
+		return nil, err
+	}
+	if _, err := f.AwaitVersion(v, settleLimit); err != nil {
+		return nil, err
+	}
+	row := Row{"nodes": float64(len(f.VMs)), "start s": time.Since(started).Seconds()}
+	if _, err := f.Await(settleLimit, func(vm *trial.VM) bool { return vm.Node.Known() >= len(f.VMs) }); err != nil {
+		return nil, err
+	}
+	time.Sleep(idleWindow / 2)
+	idle(f, row)
+	if err := changes(ctx, f, o, doc, row); err != nil {
+		return nil, err
+	}
+	runtime.GC()
+	row["MB/node"] = (heap() - before) / float64(len(f.VMs)) / 1e6
+	if err := leadLoss(ctx, f, o, doc, row); err != nil {
+		return nil, err
+	}
+	return row, storm(f, row)
+}
+
+func heap() float64 {
+	var m runtime.MemStats
+	runtime.ReadMemStats(&m)
+	return float64(m.HeapInuse + m.StackInuse)
+}
+
+func cpuTime() time.Duration {
+	var u syscall.Rusage
+	_ = syscall.Getrusage(syscall.RUSAGE_SELF, &u)
+	return time.Duration(u.Utime.Nano() + u.Stime.Nano())
+}
+
+// bytes returns what each node has sent and received.
+func linkBytes(f *trial.Fleet) []float64 {
+	var bs []float64
+	for _, v := range f.VMs {
+		sent, received := v.Node.Traffic().Bytes()
+		bs = append(bs, float64(sent+received))
+	}
+	return bs
+}
+
+func difference(after, before []float64, per float64) []float64 {
+	d := make([]float64, len(after))
+	for i := range after {
+		d[i] = (after[i] - before[i]) / per
+	}
+	return d
+}
+
+func idle(f *trial.Fleet, row Row) {
+	bytes, cpu, calls := linkBytes(f), cpuTime(), f.Store.Calls()
+	time.Sleep(idleWindow)
+	seconds := idleWindow.Seconds()
+	d := difference(linkBytes(f), bytes, seconds)
+	row["idle B/s med"], row["idle B/s max"] = quantileFloat(d, 0.5), quantileFloat(d, 1)
+	row["idle cpu %"] = 100 * (cpuTime() - cpu).Seconds() / seconds / float64(len(f.VMs))
+	after := f.Store.Calls()
+	row["store reads/s"] = float64(after["read"]-calls["read"]) / seconds
+	row["store writes/s"] = float64(after["write"]-calls["write"]) / seconds
+}
+
+func changes(ctx context.Context, f *trial.Fleet, o ControlOptions, doc config.Document, row Row) error {
+	var took []time.Duration
+	bytes, cpu, started := linkBytes(f), cpuTime(), time.Now()
+	for i := range o.Changes {
+		section := config.SectionName(fmt.Sprintf("route service-%03d", i%o.Services))
+		doc = doc.Clone()
+		doc[section]["timeout"] = fmt.Sprintf("%dms", 1000+i)
+		accepted := time.Now()
+		v, err := f.Apply(ctx, doc, fmt.Sprintf("change-%d", i))
+		if err != nil {
+			return err
+		}
+		applied := time.Since(accepted)
+		ds, err := f.AwaitVersion(v, settleLimit)
+		if err != nil {
+			return err
+		}
+		for _, d := range ds {
+			took = append(took, applied+d)
+		}
+		time.Sleep(o.ChangeInterval)
+	}
+	seconds := time.Since(started).Seconds()
+	n := float64(o.Changes)
+	d := difference(linkBytes(f), bytes, n)
+	row["p50 ms"], row["p99 ms"] = milliseconds(quantile(took, 0.5)), milliseconds(quantile(took, 0.99))
+	row["max ms"] = milliseconds(quantile(took, 1))
+	row["B/change med"] = quantileFloat(d, 0.5) - row["idle B/s med"]*seconds/n
+	row["B/change max"] = quantileFloat(d, 1) - row["idle B/s max"]*seconds/n
+	idleCPU := row["idle cpu %"] / 100 * seconds * float64(len(f.VMs))
+	row["ms cpu/change"] = ((cpuTime() - cpu).Seconds() - idleCPU) * 1000 / n / float64(len(f.VMs))
+	return nil
+}
+
+// leadLoss kills the lead of a data centre in the middle of a change.
+func leadLoss(ctx context.Context, f *trial.Fleet, o ControlOptions, doc config.Document, row Row) error {
+	doc = doc.Clone()
+	doc["defaults"]["timeout"] = "4s"
+	for _, v := range f.VMs {
+		if s := v.Node.Status(); s.Lease {
+			f.Kill(v)
+			break
+		}
+	}
+	started := time.Now()
+	version, err := f.Apply(ctx, doc, "lead-loss")
+	if err != nil {
+		return err
+	}
+	if _, err := f.AwaitVersion(version, settleLimit); err != nil {
+		return err
+	}
+	row["lead loss s"] = time.Since(started).Seconds()
+	return nil
+}
+
+// storm replaces every node of one data centre at once and waits until all are ready.
+func storm(f *trial.Fleet, row Row) error {
+	centre := f.VMs[0].Centre
+	var lost []*trial.VM
+	for _, v := range f.VMs {
+		if v.Centre == centre {
+			lost = append(lost, v)
+		}
+	}
+	for _, v := range lost {
+		f.Kill(v)
+	}
+	f.ForgetSeeds(centre.Name)
+	for _, v := range lost {
+		if _, err := f.Restart(v, trial.Service{}); err != nil {
+			return err
+		}
+	}
+	started := time.Now()
+	if _, err := f.Await(settleLimit, func(v *trial.VM) bool { return v.Node.Ready() }); err != nil {
+		return err
+	}
+	row["storm s"] = time.Since(started).Seconds()
+	return nil
+}
--- a/node/act.go
+++ b/node/act.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 	"net/http"
+	"slices"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -20,7 +21,7 @@
 	watchWait    = 50 * time.Second
 	probeTimeout = time.Second
 	leadPrefix   = "cassialead/lead/"
-	inboundBase  = 1 << 32 // ids of inbound links start here
+	inboundBase  = 1 << 32                // ids of inbound links start here
 	absentWait   = 500 * time.Millisecond // between looks at a store without a head
 )
 
@@ -84,7 +85,10 @@
 	self := core.Self()
 	n.self.Store(&self)
 	cfg, held := core.Config()
-	n.gateway.Publish(cfg, held.Version, core.Records())
+	records := core.Records()
+	live := slices.DeleteFunc(records, func(r fleet.Record) bool { return !r.Live() })
+	n.known.Store(int64(len(live)))
+	n.gateway.Publish(cfg, held.Version, live)
 }
 
 func (n *Node) link(id control.LinkID) *link.Conn {
--- a/node/local.go
+++ b/node/local.go
@@ -82,3 +82,15 @@
 	n.targets.drain()
 	writeJSON(w, n.Status())
 }
+
+// Version returns the configuration version that the node's calls follow.
+func (n *Node) Version() config.Version { return n.gateway.Version() }
+
+// Endpoints returns how many targets of a service the node can choose from.
+func (n *Node) Endpoints(s config.ServiceName) int { return n.gateway.Endpoints(s) }
+
+// Ready reports whether the node may serve.
+func (n *Node) Ready() bool { return n.ready.Load() }
+
+// Known returns how many live nodes the node has records of.
+func (n *Node) Known() int { return int(n.known.Load()) }
--- a/node/node.go
+++ b/node/node.go
@@ -53,14 +53,16 @@
 	links  map[control.LinkID]*link.Conn
 	lease  leaseHolder
 	ctx    context.Context
-	jobs   sync.WaitGroup
 
 	callServer, linkServer, localServer *http.Server
 	self                                atomic.Pointer[fleet.Record]
 	publishing                          bool
 	inbound                             atomic.Uint64
 	ready                               atomic.Bool
+	known                               atomic.Int64
 	stopped                             chan struct{}
+	killed                              chan struct{}
+	killOnce                            sync.Once
 }
 
 // query asks the event loop to run a function on the state machine.
@@ -71,7 +73,8 @@
 
 // New opens the node's sockets; an address with port 0 takes a free port.
 func New(cfg settings.Node, deps Deps) (*Node, error) {
-	n := &Node{cfg: cfg, deps: deps, links: map[control.LinkID]*link.Conn{}, stopped: make(chan struct{})}
+	n := &Node{cfg: cfg, deps: deps, links: map[control.LinkID]*link.Conn{}, stopped: make(chan struct{}),
+		killed: make(chan struct{})}
 	n.events = make(chan any, eventQueue)
 	n.traffic = link.NewTraffic(deps.Metrics)
 	n.book = history.New(deps.Store, deps.Now, func() string { return "" })
@@ -142,8 +145,7 @@
 	loop, cancel := context.WithCancel(context.WithoutCancel(ctx))
 	defer cancel()
 	n.ctx = loop
-	seed := n.deps.Rand
-	core := control.New(control.Settings{Record: *n.self.Load(), Seeds: n.cfg.Seeds}, n.deps.Now(), seed)
+	core := control.New(control.Settings{Record: *n.self.Load(), Seeds: n.cfg.Seeds}, n.deps.Now(), n.deps.Rand)
 	go n.drainOnEnd(ctx, cancel)
 	ticker := time.NewTicker(control.TickInterval)
 	defer ticker.Stop()
@@ -154,8 +156,11 @@
 		case <-ticker.C:
 			n.targets.expire()
 			e = control.Tick{}
+		case <-n.killed:
+			n.end()
+			return nil
 		case <-loop.Done():
-			n.end(core)
+			n.end()
 			return nil
 		}
 		n.handle(core, e)
@@ -192,14 +197,14 @@
 	stop()
 }
 
-func (n *Node) end(core *control.Core) {
+func (n *Node) end() {
 	n.closeAll()
 	close(n.stopped)
-	_ = core
 }
 
 // Kill ends the node at once, as a failing VM does.
 func (n *Node) Kill() {
+	n.killOnce.Do(func() { close(n.killed) })
 	_ = n.callServer.Close()
 	n.closeAll()
 }
@@ -210,7 +215,7 @@
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	for _, c := range n.links {
-		c.Close()
+		c.Abort()
 	}
 }
 
