control: prove the promises under failure in virtual time

Cause: the first failure runs showed a change in force only after 4.06 s where half a data centre died silently (bound 5 s) and a lost offer healed only at the second heartbeat. Ruled out: the dial back-off, which never exceeded 0.3 s in those runs; the time went into noticing silence.

Change: heartbeats every 500 ms with a silence limit of 2 s (was 1 s and 3.5 s), a re-offer 400 ms after an unacknowledged one, and a parent chosen as soon as a first link is welcomed.

--- a/cmds/measure.go
+++ b/cmds/measure.go
@@ -10,7 +10,7 @@
 
 func (a *app) measureCommand() *cobra.Command {
 	cmd := &cobra.Command{Use: "measure", Short: "Run the measurements behind the capacity figures on this machine"}
-	cmd.AddCommand(a.measureControl())
+	cmd.AddCommand(a.measureControl(), a.measureCalls())
 	return cmd
 }
 
@@ -38,3 +38,29 @@
 	f.Uint64Var(&o.Seed, "seed", 1, "seed of all random choices")
 	return cmd
 }
+
+func (a *app) measureCalls() *cobra.Command {
+	o := measure.CallOptions{Progress: func(line string) { _, _ = a.errOut.Write([]byte(line + "\n")) }}
+	cmd := &cobra.Command{
+		Use:     "calls",
+		Short:   "Measure calls on both users' deployments against plain baselines",
+		Example: "  cassialead measure calls --scenarios added,straggler --length 10s",
+		Args:    cobra.NoArgs,
+		RunE: func(cmd *cobra.Command, _ []string) error {
+			reports, err := measure.Calls(cmd.Context(), o)
+			if err != nil {
+				return err
+			}
+			return a.print(reports, func() {
+				for _, r := range reports {
+					r.Print(a.out)
+				}
+			})
+		},
+	}
+	f := cmd.Flags()
+	f.StringSliceVar(&o.Scenarios, "scenarios", []string{"added", "straggler", "long", "crest", "repeats"}, "what to measure")
+	f.DurationVar(&o.Length, "length", 10*time.Second, "length of each run")
+	f.Uint64Var(&o.Seed, "seed", 1, "seed of all random choices")
+	return cmd
+}
--- a/control/core.go
+++ b/control/core.go
@@ -13,8 +13,8 @@
 // The timing of control traffic.
 const (
 	TickInterval       = 100 * time.Millisecond
-	beatInterval       = time.Second
-	silenceLimit       = 3500 * time.Millisecond
+	beatInterval       = 500 * time.Millisecond
+	silenceLimit       = 2 * time.Second
 	antiEntropyPeriod  = 30 * time.Second
 	leaseTTL           = 10 * time.Second
 	leaseRenewal       = 3 * time.Second
@@ -27,7 +27,7 @@
 	joinAloneAfter     = 1500 * time.Millisecond
 	joinAloneJitter    = 2 * time.Second
 	floorWait          = 3 * time.Second
-	offerResend        = 1500 * time.Millisecond
+	offerResend        = 400 * time.Millisecond
 	forgetGone         = 10 * time.Minute
 	maxDistance        = 8
 	fullSyncsPerSecond = 25
@@ -96,7 +96,7 @@
 // New returns the state machine of a node that starts at now and holds nothing.
 func New(s Settings, now time.Time, rng *rand.Rand) *Core {
 	c := &Core{
-		now: now, rng: rng, self: s.Record, seeds: s.Seeds, started: now,
+		now: now, rng: rng, self: s.Record, seeds: s.Seeds, started: now, missing: now,
 		fleet: fleet.New(), holder: rollout.New(),
 		links: map[LinkID]*link{}, retry: map[fleet.NodeID]*backoff{},
 		answered: map[fleet.NodeID]bool{}, suspects: map[fleet.NodeID]time.Time{},
--- /dev/null
+++ b/control/failure_test.go
@@ -0,0 +1,253 @@
+package control_test
+
+import (
+	"fmt"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"github.com/cassialead/cassialead/config"
+	"github.com/cassialead/cassialead/control"
+	"github.com/cassialead/cassialead/fleet"
+)
+
+const (
+	inForceBound = 5 * time.Second // the stated target
+	drainBound   = 3 * time.Second
+	settleTime   = 15 * time.Second
+)
+
+var centres = []string{"costa/norte", "costa/sur", "llanos/arauca", "llanos/casanare"}
+
+// settled returns a world whose nodes all follow version 1.
+func settled(seed uint64, n int, dcs ...string) *world {
+	w := newWorld(seed)
+	w.start(n, dcs...)
+	w.apply(document(0))
+	w.run(settleTime)
+	Expect(w.inForce(1, nil)()).To(BeTrue(), "version 1 in force before the failure")
+	return w
+}
+
+// reaches applies a version and expects it in force within the bound on the nodes that a filter takes.
+func reaches(w *world, n int, filter func(*member) bool) {
+	GinkgoHelper()
+	v := w.apply(document(n))
+	took, ok := w.until(inForceBound, w.inForce(v, filter))
+	Expect(ok).To(BeTrue(), "version %d in force within %s: %s", v, inForceBound, stragglers(w, v, filter))
+	AddReportEntry(fmt.Sprintf("version %d in force after %s", v, took))
+}
+
+func stragglers(w *world, v config.Version, filter func(*member) bool) string {
+	out := ""
+	for _, m := range w.live() {
+		_, held := m.core.Config()
+		if (filter == nil || filter(m)) && (held.Version < v || !m.core.Ready()) {
+			s := m.core.Status()
+			out += fmt.Sprintf("\n%s at %d floor %d ready %v root %v parent %q spare %q", m.record.Node, held.Version, s.Floor, s.Ready,
+				s.Root, s.Parent, s.Spare)
+		}
+	}
+	return out
+}
+
+func in(dcs ...fleet.DataCentre) func(*member) bool {
+	return func(m *member) bool {
+		for _, dc := range dcs {
+			if m.record.DataCentre == dc {
+				return true
+			}
+		}
+		return false
+	}
+}
+
+func not(f func(*member) bool) func(*member) bool { return func(m *member) bool { return !f(m) } }
+
+// part separates the nodes that a filter takes from the others, without closing any link.
+func (w *world) part(side func(*member) bool) {
+	w.silent = func(a, b *member) bool { return side(a) != side(b) }
+	w.refused = w.silent
+}
+
+func (w *world) heal() {
+	w.silent = func(*member, *member) bool { return false }
+	w.refused = w.silent
+}
+
+var _ = Describe("a fleet under failure", func() {
+	cases := map[string]func(w *world){
+		"the lead dies in the middle of a change": func(w *world) {
+			v := w.apply(document(1))
+			w.run(2 * storeLatency)
+			w.kill(w.lead("norte").record.Node, false)
+			_, ok := w.until(inForceBound, w.inForce(v, nil))
+			Expect(ok).To(BeTrue(), stragglers(w, v, nil))
+		},
+		"the lead goes silent and new links to it fail": func(w *world) {
+			lead := w.lead("norte")
+			w.part(func(m *member) bool { return m == lead })
+			reaches(w, 1, func(m *member) bool { return m != lead })
+		},
+		"the store is out while every lead dies, then comes back": func(w *world) {
+			w.outage(true)
+			w.run(5 * time.Second)
+			for _, dc := range []fleet.DataCentre{"norte", "sur", "arauca", "casanare"} {
+				w.kill(w.lead(dc).record.Node, false)
+			}
+			w.run(20 * time.Second)
+			w.store.leases = map[fleet.DataCentre]*fakeLease{}
+			w.outage(false)
+			w.run(4 * time.Second)
+			reaches(w, 1, nil)
+		},
+		"a lead is paused past its lease and wakes up": func(w *world) {
+			lead := w.lead("norte")
+			lead.paused = true
+			w.run(25 * time.Second)
+			reaches(w, 1, func(m *member) bool { return m != lead })
+			w.resume(lead)
+			w.run(5 * time.Second)
+			Expect(w.lead("norte")).NotTo(BeIdenticalTo(lead))
+			reaches(w, 2, nil)
+		},
+		"regions part, change on one side, and heal": func(w *world) {
+			w.part(in("arauca", "casanare"))
+			storeSide := not(in("arauca", "casanare"))
+			w.run(10 * time.Second)
+			reaches(w, 1, storeSide)
+			w.heal()
+			w.run(5 * time.Second)
+			reaches(w, 2, nil)
+		},
+		"half of a data centre dies at once and comes back": func(w *world) {
+			for i := range 10 {
+				w.kill(nodeName("sur", i), i%2 == 0)
+			}
+			w.run(time.Second)
+			reaches(w, 1, nil)
+			for i := range 10 {
+				w.boot(nodeName("sur", i), "sur", "costa")
+			}
+			_, ok := w.until(inForceBound, w.inForce(2, nil))
+			Expect(ok).To(BeTrue(), stragglers(w, 2, nil))
+		},
+		"every node restarts at once": func(w *world) {
+			for _, m := range w.live() {
+				w.kill(m.record.Node, false)
+			}
+			for _, m := range w.members {
+				w.boot(m.record.Node, m.record.DataCentre, m.record.Region)
+			}
+			took, ok := w.until(2*settleTime, w.inForce(1, nil))
+			Expect(ok).To(BeTrue(), stragglers(w, 1, nil))
+			AddReportEntry(fmt.Sprintf("all ready after %s", took))
+		},
+		"deltas are lost, repeated and corrupted": func(w *world) {
+			n := 0
+			w.mangle = func(m control.Message) control.Message {
+				o, ok := m.(control.Offer)
+				if !ok || len(o.Deltas) == 0 {
+					return m
+				}
+				n++
+				switch n % 3 {
+				case 0:
+					return nil
+				case 1:
+					o.Deltas = append([]config.Delta(nil), o.Deltas...)
+					o.Deltas[0].Set = map[config.SectionName]config.Section{"defaults": {"timeout": "9s"}}
+					return o
+				}
+				return m
+			}
+			reaches(w, 1, nil)
+			reaches(w, 2, nil)
+		},
+		"a node restarts inside a data centre that is parted from the store": func(w *world) {
+			reaches(w, 1, nil)
+			w.outage(true)
+			w.part(in("sur"))
+			w.kill("sur-004", false)
+			w.run(time.Second)
+			w.boot("sur-004", "sur", "costa")
+			_, ok := w.until(inForceBound, w.inForce(2, in("sur")))
+			Expect(ok).To(BeTrue(), stragglers(w, 2, in("sur")))
+		},
+		"the store is put back from an old copy": func(w *world) {
+			reaches(w, 1, nil)
+			reaches(w, 2, nil)
+			w.store.versions, w.store.deltas = w.store.versions[:1], w.store.deltas[:1]
+			w.store.watchers = nil
+			w.kill(w.lead("norte").record.Node, false)
+			w.run(20 * time.Second)
+			Expect(w.inForce(3, nil)()).To(BeTrue(), stragglers(w, 3, nil))
+			behind := 0
+			for _, m := range w.live() {
+				if m.core.Status().Behind {
+					behind++
+				}
+			}
+			Expect(behind).To(BeNumerically(">", 0), "a lead tells that the store is behind")
+		},
+		"a target that leaves is known everywhere": func(w *world) {
+			m := w.members["arauca-003"]
+			w.step(m, control.Leave{})
+			_, ok := w.until(drainBound, func() bool {
+				for _, other := range w.live() {
+					for _, r := range other.core.Records() {
+						if r.Node == m.record.Node && r.State != fleet.Leaving {
+							return false
+						}
+					}
+				}
+				return true
+			})
+			Expect(ok).To(BeTrue())
+		},
+	}
+	for name, run := range cases {
+		It("keeps its promises when "+name, func() {
+			w := settled(7, 24, centres...)
+			run(w)
+			w.run(time.Second)
+			Expect(w.checker.failures).To(BeEmpty())
+		})
+	}
+
+	It("declares a node gone that fails without a word, and takes it back", func() {
+		w := settled(3, 24, centres...)
+		gone := func(state fleet.State) func() bool {
+			return func() bool {
+				for _, m := range w.live() {
+					for _, r := range m.core.Records() {
+						if r.Node == "norte-007" && r.State != state {
+							return false
+						}
+					}
+				}
+				return true
+			}
+		}
+		w.kill("norte-007", true)
+		took, ok := w.until(15*time.Second, gone(fleet.Gone))
+		Expect(ok).To(BeTrue())
+		AddReportEntry(fmt.Sprintf("gone everywhere after %s", took))
+		w.boot("norte-007", "norte", "costa")
+		_, ok = w.until(inForceBound, gone(fleet.Serving))
+		Expect(ok).To(BeTrue())
+	})
+
+	It("never serves a node below the version it ran before a restart", func() {
+		w := settled(5, 24, centres...)
+		reaches(w, 1, nil)
+		w.outage(true)
+		parent := w.members["sur-009"].core.Status().Parent
+		w.kill("sur-009", false)
+		w.boot("sur-009", "sur", "costa")
+		_, ok := w.until(inForceBound, func() bool { return w.members["sur-009"].core.Ready() })
+		Expect(ok).To(BeTrue(), "under parent %s", parent)
+		Expect(w.checker.failures).To(BeEmpty())
+	})
+})
--- a/control/greeting.go
+++ b/control/greeting.go
@@ -133,8 +133,11 @@
 	}
 	l.greeted = true
 	c.heardHeld(l, m.Held)
-	if l.role == RoleChild && c.parent != l {
+	switch {
+	case l.role == RoleChild && c.parent != l:
 		c.adopt(l)
+	case c.parent == nil:
+		c.choose(c.wantedParents())
 	}
 }
 
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -42,6 +42,8 @@
 	Metrics *metrics.Set
 	Now     func() time.Time
 	Targets Targets
+	// Chooser is how a target is chosen.
+	Chooser route.Chooser
 }
 
 // Gateway carries calls; it is safe for concurrent use.
@@ -64,7 +66,7 @@
 
 // New returns a gateway without a configuration.
 func New(deps Deps) *Gateway {
-	g := &Gateway{deps: deps, board: route.NewBoard(deps.Node), classes: route.NewClassifier(), budget: route.NewBudget(),
+	g := &Gateway{deps: deps, board: route.NewBoard(deps.Node, deps.Chooser), classes: route.NewClassifier(), budget: route.NewBudget(),
 		peers: newPeerTransport(), meters: newMeters(deps.Metrics)}
 	g.clocks.known = map[fleet.NodeID]clockReading{}
 	g.inward = newInward(deps, g.meters, ledger.New(deps.Node.Incarnation, deps.Now()))
--- /dev/null
+++ b/measure/load.go
@@ -0,0 +1,134 @@
+package measure
+
+import (
+	"context"
+	"io"
+	"math/rand/v2"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+)
+
+// Stream is an open-loop stream of calls with exponential gaps.
+type Stream struct {
+	Name string
+	// Rate is in calls per second at a time since the start.
+	Rate func(time.Duration) float64
+	// Make returns the request for the n-th call.
+	Make func(n int) *http.Request
+}
+
+// Steady returns a constant rate.
+func Steady(rate float64) func(time.Duration) float64 {
+	return func(time.Duration) float64 { return rate }
+}
+
+// Outcome is what came of a stream's calls. Latencies count from the time a call was due, in microseconds.
+type Outcome struct {
+	mu       sync.Mutex
+	Answered *hdrhistogram.Histogram
+	Refused  *hdrhistogram.Histogram
+	Calls    int
+	OK       int
+	NotRun   int
+	Failed   int
+	Statuses map[int]int
+	// BySecond holds the useful answers by the second in which the call was due.
+	BySecond map[int]int
+}
+
+const (
+	maxLatencyMicros = 120_000_000
+	loadConnections  = 512
+)
+
+func newOutcome() *Outcome {
+	return &Outcome{Answered: hdrhistogram.New(1, maxLatencyMicros, 3), Refused: hdrhistogram.New(1, maxLatencyMicros, 3),
+		Statuses: map[int]int{}, BySecond: map[int]int{}}
+}
+
+func (o *Outcome) note(due time.Duration, took time.Duration, resp *http.Response, whole bool) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	o.Calls++
+	if resp == nil || !whole {
+		o.Failed++
+		return
+	}
+	o.Statuses[resp.StatusCode]++
+	switch {
+	case resp.StatusCode < 300:
+		o.OK++
+		o.BySecond[int(due.Seconds())]++
+		_ = o.Answered.RecordValue(max(took.Microseconds(), 1))
+	case resp.Header.Get("Cassialead-Ran") == "no":
+		o.NotRun++
+		_ = o.Refused.RecordValue(max(took.Microseconds(), 1))
+	default:
+		o.Failed++
+	}
+}
+
+// Quantile returns a quantile of the answered calls' latency.
+func (o *Outcome) Quantile(q float64) time.Duration {
+	return time.Duration(o.Answered.ValueAtQuantile(q)) * time.Microsecond
+}
+
+// Run sends streams for a time and waits for their answers.
+func Run(ctx context.Context, seed uint64, length time.Duration, streams ...Stream) []*Outcome {
+	transport := &http.Transport{MaxIdleConnsPerHost: loadConnections, DisableCompression: true}
+	defer transport.CloseIdleConnections()
+	var outcomes []*Outcome
+	var wg sync.WaitGroup
+	started := time.Now()
+	for i, s := range streams {
+		o := newOutcome()
+		outcomes = append(outcomes, o)
+		rng := rand.New(rand.NewPCG(seed, uint64(i)))
+		wg.Go(func() { send(ctx, transport, s, o, rng, started, length) })
+	}
+	wg.Wait()
+	return outcomes
+}
+
+func send(ctx context.Context, t *http.Transport, s Stream, o *Outcome, rng *rand.Rand, started time.Time, length time.Duration) {
+	var wg sync.WaitGroup
+	defer wg.Wait()
+	var due time.Duration
+	for n := 0; ; n++ {
+		rate := s.Rate(due)
+		if rate <= 0 {
+			due += time.Millisecond
+		} else {
+			due += time.Duration(rng.ExpFloat64() / rate * float64(time.Second))
+		}
+		if due > length || ctx.Err() != nil {
+			return
+		}
+		if rate <= 0 {
+			continue
+		}
+		if wait := time.Until(started.Add(due)); wait > 0 {
+			time.Sleep(wait)
+		}
+		req := s.Make(n).WithContext(ctx)
+		at := due
+		wg.Go(func() {
+			resp, whole := exchange(t, req)
+			o.note(at, time.Since(started.Add(at)), resp, whole)
+		})
+	}
+}
+
+// exchange sends one request and reads the whole answer.
+func exchange(t *http.Transport, req *http.Request) (*http.Response, bool) {
+	resp, err := t.RoundTrip(req)
+	if err != nil {
+		return nil, false
+	}
+	defer func() { _ = resp.Body.Close() }()
+	n, err := io.Copy(io.Discard, resp.Body)
+	return resp, err == nil && (resp.ContentLength < 0 || n == resp.ContentLength)
+}
--- a/measure/report.go
+++ b/measure/report.go
@@ -14,9 +14,11 @@
 	Command string   `json:"command"`
 	Seed    uint64   `json:"seed"`
 	Columns []string `json:"columns"`
-	Rows    []Row    `json:"rows"`
-	Slopes  []Slope  `json:"slopes,omitempty"`
-	Notes   []string `json:"notes,omitempty"`
+	// Labels names the rows, if the first column does not.
+	Labels []string `json:"labels,omitempty"`
+	Rows   []Row    `json:"rows"`
+	Slopes []Slope  `json:"slopes,omitempty"`
+	Notes  []string `json:"notes,omitempty"`
 }
 
 // Row is one line of figures, by column.
@@ -52,8 +54,14 @@
 func (r *Report) Print(w io.Writer) {
 	_, _ = fmt.Fprintf(w, "%s (seed %d)\n", r.Command, r.Seed)
 	tw := tabwriter.NewWriter(w, 0, 0, 2, ' ', tabwriter.AlignRight)
+	label := func(int) string { return "" }
+	if len(r.Labels) == len(r.Rows) && len(r.Rows) > 0 {
+		label = func(i int) string { return r.Labels[i] + "\t" }
+		_, _ = fmt.Fprint(tw, "\t")
+	}
 	_, _ = fmt.Fprintln(tw, strings.Join(r.Columns, "\t")+"\t")
-	for _, row := range r.Rows {
+	for i, row := range r.Rows {
+		_, _ = fmt.Fprint(tw, label(i))
 		for _, c := range r.Columns {
 			_, _ = fmt.Fprintf(tw, "%.4g\t", row[c])
 		}
--- a/node/node.go
+++ b/node/node.go
@@ -19,6 +19,7 @@
 	"github.com/cassialead/cassialead/gateway"
 	"github.com/cassialead/cassialead/history"
 	"github.com/cassialead/cassialead/link"
+	"github.com/cassialead/cassialead/route"
 	"github.com/cassialead/cassialead/settings"
 	"github.com/cassialead/cassialead/store"
 )
@@ -37,6 +38,8 @@
 	Metrics *metrics.Set
 	Rand    *rand.Rand
 	Now     func() time.Time
+	// Chooser is how a target is chosen; nil means route.TwoChoices.
+	Chooser route.Chooser
 }
 
 // Node is one running node.
@@ -73,6 +76,9 @@
 
 // New opens the node's sockets; an address with port 0 takes a free port.
 func New(cfg settings.Node, deps Deps) (*Node, error) {
+	if deps.Chooser == nil {
+		deps.Chooser = route.TwoChoices{}
+	}
 	n := &Node{cfg: cfg, deps: deps, links: map[control.LinkID]*link.Conn{}, stopped: make(chan struct{}),
 		killed: make(chan struct{})}
 	n.events = make(chan any, eventQueue)
@@ -103,7 +109,7 @@
 	record := n.record()
 	n.self.Store(&record)
 	n.gateway = gateway.New(gateway.Deps{Node: record, Log: n.deps.Log, Metrics: n.deps.Metrics, Now: n.deps.Now,
-		Targets: n.targets})
+		Targets: n.targets, Chooser: n.deps.Chooser})
 	n.callServer = n.serve(call, n.gateway.Ingress())
 	n.linkServer = n.serve(n.traffic.Listener(linkL), n.linkRouter())
 	n.localServer = n.serve(local, n.localRouter())
--- a/route/table.go
+++ b/route/table.go
@@ -44,14 +44,16 @@
 type Table struct {
 	Version  config.Version
 	Config   *config.Config
+	chooser  Chooser
 	services map[config.ServiceName]*[distances][]*Endpoint
 }
 
 // Board builds tables and keeps what was observed of each target between them.
 type Board struct {
-	self fleet.Record
-	mu   sync.Mutex
-	seen map[endpointKey]*observed
+	self    fleet.Record
+	chooser Chooser
+	mu      sync.Mutex
+	seen    map[endpointKey]*observed
 }
 
 type endpointKey struct {
@@ -61,13 +63,13 @@
 }
 
 // NewBoard returns a board for the node with the given record.
-func NewBoard(self fleet.Record) *Board {
-	return &Board{self: self, seen: map[endpointKey]*observed{}}
+func NewBoard(self fleet.Record, chooser Chooser) *Board {
+	return &Board{self: self, chooser: chooser, seen: map[endpointKey]*observed{}}
 }
 
 // Compile builds the table for a configuration and the records held; services without targets stay empty.
 func (b *Board) Compile(cfg *config.Config, v config.Version, records []fleet.Record, now time.Time) *Table {
-	t := &Table{Version: v, Config: cfg, services: map[config.ServiceName]*[distances][]*Endpoint{}}
+	t := &Table{Version: v, Config: cfg, chooser: b.chooser, services: map[config.ServiceName]*[distances][]*Endpoint{}}
 	if cfg == nil {
 		return t
 	}
@@ -164,7 +166,7 @@
 	var best *Endpoint
 	bestCost := 0.0
 	for d := range farthest(q.Reach) + 1 {
-		e, cost, probe := pickTwo(groups[d], q, now, rng)
+		e, cost, probe := t.choose(groups[d], q, now, rng)
 		if e == nil {
 			continue
 		}
@@ -342,7 +344,7 @@
 			o.eject(now)
 		}
 	}
-	if l.class != config.ClassLong && outcome != Refused {
+	if _, ejects := t.chooser.(TwoChoices); ejects && l.class != config.ClassLong && outcome != Refused {
 		t.ejectOutlier(l.Endpoint, service, now)
 	}
 }
--- a/standin/target.go
+++ b/standin/target.go
@@ -47,6 +47,8 @@
 	Node string
 	// Work is the time of a call that names none.
 	Work time.Duration
+	// Limit bounds the calls that are worked on at once; the rest waits inside. Zero means no bound.
+	Limit int
 	// ColdStart is how long after its start a target's calls take ten times as long.
 	ColdStart time.Duration
 }
@@ -57,6 +59,7 @@
 	listener net.Listener
 	server   *http.Server
 	started  time.Time
+	limit    chan struct{}
 
 	mu      sync.Mutex
 	faults  TargetFaults
@@ -79,6 +82,9 @@
 	}
 	ctx, cancel := context.WithCancel(context.Background())
 	t := &Target{cfg: cfg, listener: l, started: time.Now(), runs: map[string]int{}, stop: cancel, ended: make(chan struct{})}
+	if cfg.Limit > 0 {
+		t.limit = make(chan struct{}, cfg.Limit)
+	}
 	t.server = &http.Server{Handler: t.handler()}
 	go func() { _ = t.server.Serve(l) }()
 	go t.keepAnnouncing(ctx)
@@ -205,7 +211,7 @@
 		t.runs[order]++
 		t.mu.Unlock()
 	}
-	if !sleep(r, t.workOf(q.Get("work"), f)) {
+	if !t.work(r, t.workOf(q.Get("work"), f)) {
 		return
 	}
 	if f.BreakAfterRun {
@@ -220,6 +226,19 @@
 	t.answer(w, q.Get("bytes"), f, body)
 }
 
+// work holds one of the target's own slots for a time; it reports false when the call was given up.
+func (t *Target) work(r *http.Request, d time.Duration) bool {
+	if t.limit != nil {
+		select {
+		case t.limit <- struct{}{}:
+			defer func() { <-t.limit }()
+		case <-r.Context().Done():
+			return false
+		}
+	}
+	return sleep(r, d)
+}
+
 func (t *Target) answer(w http.ResponseWriter, size string, f TargetFaults, body []byte) {
 	n, _ := strconv.Atoi(size)
 	if n == 0 && !f.Truncate {
--- a/trial/fleet.go
+++ b/trial/fleet.go
@@ -18,6 +18,7 @@
 	"github.com/cassialead/cassialead/fleet"
 	"github.com/cassialead/cassialead/history"
 	"github.com/cassialead/cassialead/node"
+	"github.com/cassialead/cassialead/route"
 	"github.com/cassialead/cassialead/settings"
 	"github.com/cassialead/cassialead/standin"
 	"github.com/cassialead/cassialead/store"
@@ -41,6 +42,12 @@
 	Spare int
 	// ReadsPerSecond and WritesPerSecond bound the store.
 	ReadsPerSecond, WritesPerSecond int
+	// Chooser makes the nodes' way to choose targets; nil means the standard one.
+	Chooser func() route.Chooser
+	// Limit makes the targets themselves serve only their slots at once; the rest waits inside them.
+	Limit bool
+	// AnnouncedSlots replaces the slots that targets announce, when it is not zero.
+	AnnouncedSlots int
 }
 
 // Centre is a data centre and its region.
@@ -104,6 +111,7 @@
 	Port     store.Port
 	VMs      []*VM
 
+	layout    Layout
 	log       *slog.Logger
 	rng       *rand.Rand
 	server    *http.Server
@@ -132,7 +140,7 @@
 	if reads == 0 {
 		reads, writes = defaultReads, defaultWrites
 	}
-	f := &Fleet{Store: standin.NewStore(reads, writes), log: log, rng: rand.New(rand.NewPCG(seed, 0)),
+	f := &Fleet{layout: l, Store: standin.NewStore(reads, writes), log: log, rng: rand.New(rand.NewPCG(seed, 0)),
 		transport: &http.Transport{MaxIdleConnsPerHost: 64}, seeds: map[fleet.DataCentre][]fleet.Address{}}
 	f.StoreURL = "http://" + listener.Addr().String()
 	f.server = &http.Server{Handler: f.Store.Handler()}
@@ -182,7 +190,12 @@
 	set := metrics.NewSet()
 	cfg := settings.Node{VM: fleet.NodeID(name), DataCentre: c.Name, Region: c.Region, Call: "127.0.0.1:0", Link: "127.0.0.1:0",
 		Local: "127.0.0.1:0", Store: f.StoreURL, Seeds: f.seeds[c.Name]}
-	n, err := node.New(cfg, node.Deps{Store: store.New(f.StoreURL, f.transport, set), Log: f.log, Metrics: set,
+	var chooser route.Chooser
+	if f.layout.Chooser != nil {
+		chooser = f.layout.Chooser()
+	}
+	n, err := node.New(cfg, node.Deps{Chooser: chooser,
+		Store: store.New(f.StoreURL, f.transport, set), Log: f.log, Metrics: set,
 		Rand: rand.New(rand.NewPCG(f.rng.Uint64(), f.rng.Uint64())), Now: time.Now})
 	if err != nil {
 		return nil, err
@@ -198,8 +211,7 @@
 		_ = n.Run(ctx)
 	}()
 	if s.Name != "" {
-		v.Target, err = standin.NewTarget(standin.TargetSettings{Service: s.Name, Slots: s.Slots, Connections: s.Connections,
-			Node: string(local)})
+		v.Target, err = standin.NewTarget(f.target(s, string(local)))
 		if err != nil {
 			return nil, err
 		}
@@ -208,6 +220,17 @@
 	return v, nil
 }
 
+func (f *Fleet) target(s Service, local string) standin.TargetSettings {
+	t := standin.TargetSettings{Service: s.Name, Slots: s.Slots, Connections: s.Connections, Node: local}
+	if f.layout.Limit {
+		t.Limit = s.Slots
+	}
+	if f.layout.AnnouncedSlots != 0 {
+		t.Slots, t.Connections = f.layout.AnnouncedSlots, 0
+	}
+	return t
+}
+
 // Stop shuts a VM down gracefully and takes it off the list.
 func (f *Fleet) Stop(v *VM) {
 	v.stop()
@@ -318,3 +341,23 @@
 	defer f.mu.Unlock()
 	delete(f.seeds, dc)
 }
+
+// Counter returns the sum of a counter over all nodes.
+func (f *Fleet) Counter(name string) float64 {
+	var sum float64
+	for _, v := range f.VMs {
+		sum += float64(v.Metrics.GetOrCreateCounter(name).Get())
+	}
+	return sum
+}
+
+// Served returns how many calls the targets of a service have ended.
+func (f *Fleet) Served(service string) int {
+	n := 0
+	for _, v := range f.VMs {
+		if v.Target != nil && v.Service == service {
+			n += v.Target.Served()
+		}
+	}
+	return n
+}
