--- a/control/world_test.go
+++ b/control/world_test.go
@@ -116,7 +116,9 @@
 	return w
 }
 
-func nodeName(dc fleet.DataCentre, i int) fleet.NodeID { return fleet.NodeID(fmt.Sprintf("%s-%03d", dc, i)) }
+func nodeName(dc fleet.DataCentre, i int) fleet.NodeID {
+	return fleet.NodeID(fmt.Sprintf("%s-%03d", dc, i))
+}
 
 // start runs n nodes in each of the data centres given as "region/name".
 func (w *world) start(n int, centres ...string) {
