--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -114,9 +114,15 @@
 	if !x.policy.Hedge || x.call.repeat || x.call.class == config.ClassLong || x.body.stream != nil {
 		return 0, false
 	}
-	return x.g.quantile(x.call.service).HedgeDelay()
+	if delay, ok := x.g.quantile(x.call.service).HedgeDelay(); ok {
+		return delay, true
+	}
+	// Too little is known of the service; a call that has used up a good part of its time is worth a second attempt.
+	return x.call.deadline.Sub(x.g.deps.Now()) / unknownHedgeShare, true
 }
 
+const unknownHedgeShare = 4 // of a call's time, before the first hedge of a service not known yet
+
 const maxElsewhere = 2 // further targets tried after refusals
 
 // race is the set of attempts of one call; the first good answer wins.
@@ -186,7 +192,8 @@
 		x.end(t, route.Refused)
 		x.g.meters.elsewhere.Inc()
 		return r.again(x.g.budget.Elsewhere, maxElsewhere, &r.elsewhere, x.call.repeat, t.resp)
-	case refused(t.resp):
+	case refused(t.resp), t.resp.StatusCode == http.StatusServiceUnavailable:
+		// A target that sheds load answers fast; counting that as a failure keeps it from drawing more calls.
 		x.end(t, route.Failed)
 		return r.again(x.mayRepeat, x.policy.Retries, &r.retries, true, t.resp)
 	}
@@ -209,6 +216,7 @@
 	if *used < most && r.x.g.deps.Now().Before(r.x.call.deadline) && allowed() {
 		*used++
 		if r.launch(repeat) == nil {
+			_ = last.Body.Close()
 			return answer{}, false
 		}
 	}
--- /dev/null
+++ b/settings/node_test.go
@@ -0,0 +1,67 @@
+package settings_test
+
+import (
+	"testing"
+
+	"github.com/cockroachdb/errors"
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"github.com/cassialead/cassialead/config"
+	"github.com/cassialead/cassialead/settings"
+)
+
+func TestSettings(t *testing.T) {
+	RegisterFailHandler(Fail)
+	RunSpecs(t, "settings")
+}
+
+const valid = `[node]
+vm = a
+data-centre = norte
+region = costa
+call = 127.0.0.1:1
+link = 127.0.0.1:2
+local = 127.0.0.1:3
+[store]
+address = http://127.0.0.1:8500
+`
+
+var _ = Describe("settings of a node", func() {
+	It("are read", func() {
+		n, err := settings.ParseNode("node.ini", []byte(valid))
+		Expect(err).NotTo(HaveOccurred())
+		Expect(n.LogFormat).To(Equal("text"))
+		Expect(string(n.Link)).To(Equal("127.0.0.1:2"))
+	})
+
+	cases := map[string]struct{ add, want string }{
+		"an unknown key":        {"colour = red\n", `node.ini: section [store]: key "colour": unknown key`},
+		"an unknown section":    {"[cluster]\n", "node.ini: section [cluster]: unknown section"},
+		"a section given twice": {"[node]\nvm = b\n", "node.ini: section [node]: the section appears more than once"},
+	}
+	for name, c := range cases {
+		It("are refused with "+name, func() {
+			_, err := settings.ParseNode("node.ini", []byte(valid+c.add))
+			Expect(err).To(MatchError(config.ErrInvalid))
+			Expect(err.Error()).To(ContainSubstring(c.want))
+		})
+	}
+
+	It("have all of their faults reported together", func() {
+		_, err := settings.ParseNode("node.ini", []byte("[node]\ncall = host:1\nlink = 127.0.0.1:2\nlocal = 127.0.0.1:2\ndrain = 5\n[store]\naddress = x\n"))
+		var problems config.Problems
+		Expect(errors.As(err, &problems)).To(BeTrue())
+		Expect(problems.Error()).To(And(ContainSubstring(`key "vm": the key is required`), ContainSubstring(`clashes with key "link"`),
+			ContainSubstring("want an IP address"), ContainSubstring("want a duration with a unit"), ContainSubstring("want a URL")))
+	})
+})
+
+func FuzzNode(f *testing.F) {
+	f.Add([]byte(valid))
+	f.Fuzz(func(t *testing.T, data []byte) {
+		if _, err := settings.ParseNode("fuzz", data); err != nil && !errors.Is(err, config.ErrInvalid) {
+			t.Fatalf("error %v is no ErrInvalid", err)
+		}
+	})
+}
--- a/standin/target.go
+++ b/standin/target.go
@@ -194,6 +194,11 @@
 	f := t.begin()
 	defer t.finish()
 	q := r.URL.Query()
+	id := r.Header.Get(attemptHeader)
+	if f.Cross {
+		id += "-of-another"
+	}
+	w.Header().Set(attemptHeader, id)
 	if f.Shed {
 		http.Error(w, "shed", http.StatusServiceUnavailable)
 		return
@@ -217,11 +222,6 @@
 	if f.BreakAfterRun {
 		panic(http.ErrAbortHandler)
 	}
-	id := r.Header.Get(attemptHeader)
-	if f.Cross {
-		id += "-of-another"
-	}
-	w.Header().Set(attemptHeader, id)
 	w.Header().Set("Standin-Target", t.Address())
 	t.answer(w, q.Get("bytes"), f, body)
 }
