--- a/measure/load.go
+++ b/measure/load.go
@@ -35,7 +35,7 @@
 	NotRun   int
 	Failed   int
 	Statuses map[int]int
-	// BySecond holds the useful answers by the second in which the call was due.
+	// BySecond counts the useful answers by the second in which they ended.
 	BySecond map[int]int
 }
 
@@ -61,7 +61,7 @@
 	switch {
 	case resp.StatusCode < 300:
 		o.OK++
-		o.BySecond[int(due.Seconds())]++
+		o.BySecond[int((due+took).Seconds())]++
 		_ = o.Answered.RecordValue(max(took.Microseconds(), 1))
 	case resp.Header.Get("Cassialead-Ran") == "no":
 		o.NotRun++
