ledger: never call a forgotten run one that never ran

Cause: a result was forgotten two minutes after its end, and a fence for an attempt that is not known answered 'never'. A region parted for longer could have turned a finished order into a false 'not run'. Found by reading the random test's horizon, which ended before the results were forgotten. Change: results are kept two minutes past the start-by time, and a later fence for an unknown attempt answers that this node can't know.

--- a/ledger/attempt.go
+++ b/ledger/attempt.go
@@ -169,16 +169,17 @@
 	close(a.done)
 }
 
-// Fence makes sure that an attempt that has not started never will, and returns its state.
+// Fence makes sure that an attempt that has not started never will, and returns its state; the state is empty when
+// this node can't know what became of the attempt.
 func (l *Ledger) Fence(now time.Time, id AttemptID, by StartBy) (State, *Attempt) {
 	l.sweep(now)
 	a, ok := l.attempts[id]
 	if !ok {
-		a = &Attempt{state: Waiting, startBy: by, done: make(chan struct{})}
-		if by.Incarnation != l.incarnation {
-			// Whether the node ran it before its restart is not known here.
+		// What the node ran before its restart, or has forgotten, is not known here.
+		if by.Incarnation != l.incarnation || now.Sub(l.started) > by.At+keepDone {
 			return "", nil
 		}
+		a = &Attempt{state: Waiting, startBy: by, done: make(chan struct{})}
 		l.attempts[id] = a
 	}
 	l.Abandon(now, a)
@@ -198,9 +199,8 @@
 	}
 	l.swept = t
 	for id, a := range l.attempts {
-		old := t - a.ended
 		switch {
-		case a.state == Done && old > keepDone && t > a.startBy.At+fenceSlack,
+		case a.state == Done && t > max(a.ended, a.startBy.At)+keepDone,
 			a.state == Never && t > a.startBy.At+fenceSlack:
 			delete(l.attempts, id)
 		}
--- /dev/null
+++ b/ledger/attempt_test.go
@@ -0,0 +1,116 @@
+package ledger_test
+
+import (
+	"testing"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+	"pgregory.net/rapid"
+
+	"github.com/cassialead/cassialead/ledger"
+)
+
+func TestLedger(t *testing.T) {
+	RegisterFailHandler(Fail)
+	RunSpecs(t, "ledger")
+}
+
+var start = time.Unix(1000, 0)
+
+func by(d time.Duration) ledger.StartBy { return ledger.StartBy{Incarnation: 7, At: d} }
+
+var _ = Describe("a ledger of attempts", func() {
+	It("runs no attempt that has been fenced, whichever comes first", func() {
+		l := ledger.New(7, start)
+		state, _ := l.Fence(start, "a", by(time.Second))
+		Expect(state).To(Equal(ledger.Never))
+		_, err := l.Begin(start, "a", by(time.Second))
+		Expect(err).To(MatchError(ledger.ErrFenced))
+
+		waiting, err := l.Begin(start, "b", by(time.Second))
+		Expect(err).NotTo(HaveOccurred())
+		state, _ = l.Fence(start, "b", by(time.Second))
+		Expect(state).To(Equal(ledger.Never))
+		Expect(l.Start(start, waiting)).To(MatchError(ledger.ErrFenced))
+	})
+
+	It("tells a fence that an attempt runs or has run, with its result", func() {
+		l := ledger.New(7, start)
+		a, err := l.Begin(start, "a", by(time.Second))
+		Expect(err).NotTo(HaveOccurred())
+		Expect(l.Start(start, a)).To(Succeed())
+		state, _ := l.Fence(start, "a", by(time.Second))
+		Expect(state).To(Equal(ledger.Running))
+		l.Finish(start, a, ledger.Result{Status: 201})
+		state, found := l.Fence(start, "a", by(time.Second))
+		Expect(state).To(Equal(ledger.Done))
+		_, result := l.Result(found)
+		Expect(result.Status).To(Equal(201))
+	})
+
+	It("does not call a run whose result it has forgotten one that never ran", func() {
+		l := ledger.New(7, start)
+		a, err := l.Begin(start, "a", by(time.Second))
+		Expect(err).NotTo(HaveOccurred())
+		Expect(l.Start(start, a)).To(Succeed())
+		l.Finish(start, a, ledger.Result{Status: 200})
+		state, _ := l.Fence(start.Add(10*time.Minute), "a", by(time.Second))
+		Expect(state).To(BeEmpty())
+	})
+
+	It("refuses attempts that come late or were meant for the node before its restart", func() {
+		l := ledger.New(7, start)
+		_, err := l.Begin(start.Add(2*time.Second), "late", by(time.Second))
+		Expect(err).To(MatchError(ledger.ErrLate))
+		_, err = l.Begin(start, "old", ledger.StartBy{Incarnation: 6, At: time.Hour})
+		Expect(err).To(MatchError(ledger.ErrOtherIncarnation))
+		state, _ := l.Fence(start, "older", ledger.StartBy{Incarnation: 6, At: time.Hour})
+		Expect(state).To(BeEmpty(), "whether it ran before the restart is not known")
+	})
+})
+
+// TestNoOrderOfEventsRunsAnAttemptTwice tries every kind of event at random times.
+func TestNoOrderOfEventsRunsAnAttemptTwice(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		l := ledger.New(7, start)
+		now := start
+		startBy := by(time.Duration(rapid.IntRange(0, 8000).Draw(t, "start by")) * time.Millisecond)
+		var held []*ledger.Attempt
+		starts, provenNever := 0, false
+		for range rapid.IntRange(1, 30).Draw(t, "events") {
+			now = now.Add(time.Duration(rapid.SampledFrom([]int{0, 1, 500, 3000, 60_000}).Draw(t, "ms")) * time.Millisecond)
+			switch rapid.SampledFrom([]string{"begin", "begin", "start", "finish", "fence", "abandon", "other"}).Draw(t, "event") {
+			case "begin":
+				if a, err := l.Begin(now, "a", startBy); err == nil {
+					held = append(held, a)
+				}
+			case "start":
+				if len(held) > 0 && l.Start(now, held[len(held)-1]) == nil {
+					starts++
+				}
+			case "finish":
+				if len(held) > 0 {
+					l.Finish(now, held[len(held)-1], ledger.Result{Status: 200})
+				}
+			case "fence":
+				if state, _ := l.Fence(now, "a", startBy); state == ledger.Never {
+					if starts > 0 {
+						// After its result is forgotten the attempt can't start, but it must not be called "never run".
+						t.Fatalf("fence says never after a start")
+					}
+					provenNever = true
+				}
+			case "abandon":
+				if len(held) > 0 {
+					l.Abandon(now, held[len(held)-1])
+				}
+			case "other":
+				_, _ = l.Begin(now, "b", by(now.Sub(start)+time.Second))
+			}
+			if starts > 1 || (provenNever && starts > 0) {
+				t.Fatalf("%d starts, proven never: %v", starts, provenNever)
+			}
+		}
+	})
+}
