gateway: let a caller's key run its order once

Cause: a caller that repeats an order after losing its answer had only the attempt's own fence, which a new call does not share. A key is claimed at two nodes of its service by rendezvous hashing; both must agree before the run, the outcome is kept there, and entries move to new holders when nodes come and go. A node that can't vouch that a key is unused (both holders lost within 5 s, a holder out of reach, a service started anew) refuses it as not run. The store is asked only by services of one node and once by a service whose nodes all started anew, at most 2 calls a second a node. Ruled out: granting by a store claim when a holder can't be reached, because that holder may know the key and the store does not. Tests: after, during and across an owner's loss; with the vouching taken out, the cases of lost holders run an order a second time and fail.

--- a/gateway/failure_test.go
+++ b/gateway/failure_test.go
@@ -225,7 +225,7 @@
 		Eventually(func() int { return s.runs("restart") }, patience).Should(Equal(1))
 		beside.peers.CloseClientConnections()
 		_ = beside.peers.Listener.Close()
-		restarted := newPlace(1, 0)
+		restarted := newPlace(1, 0, s.claims)
 		beside.wire.mu.Lock()
 		beside.wire.to = restarted.peers.Listener.Addr().String()
 		beside.wire.mu.Unlock()
@@ -241,7 +241,7 @@
 		ingress, beside := s.places[0], s.places[1]
 		Expect(ingress.call(http.MethodPost, "/orders?order=first").status).To(Equal(http.StatusOK))
 		time.Sleep(2 * time.Millisecond) // another incarnation
-		restarted := newPlace(1, 0)
+		restarted := newPlace(1, 0, s.claims)
 		beside.wire.mu.Lock()
 		beside.wire.to = restarted.peers.Listener.Addr().String()
 		beside.wire.mu.Unlock()
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -44,6 +44,8 @@
 	Targets Targets
 	// Chooser is how a target is chosen.
 	Chooser route.Chooser
+	// Claims may be nil, which leaves keys without a second holder refused.
+	Claims Claims
 }
 
 // Gateway carries calls; it is safe for concurrent use.
@@ -57,6 +59,7 @@
 	clocks  clocks
 	peers   *peerTransport
 	inward  *inward
+	keys    *keyring
 	meters  *meters
 
 	draining atomic.Bool
@@ -68,6 +71,7 @@
 func New(deps Deps) *Gateway {
 	g := &Gateway{deps: deps, board: route.NewBoard(deps.Node, deps.Chooser), classes: route.NewClassifier(), budget: route.NewBudget(),
 		peers: newPeerTransport(), meters: newMeters(deps.Metrics)}
+	g.keys = newKeyring(deps, g.peers)
 	g.clocks.known = map[fleet.NodeID]clockReading{}
 	g.inward = newInward(deps, g.meters, ledger.New(deps.Node.Incarnation, deps.Now()))
 	g.table.Store(&route.Table{})
@@ -76,7 +80,9 @@
 
 // Publish puts a configuration and the records held into force for the calls that come.
 func (g *Gateway) Publish(cfg *config.Config, v config.Version, records []fleet.Record) {
-	g.table.Store(g.board.Compile(cfg, v, records, g.deps.Now()))
+	t := g.board.Compile(cfg, v, records, g.deps.Now())
+	g.keys.publish(t)
+	g.table.Store(t)
 }
 
 // Version returns the configuration version that calls follow.
@@ -91,6 +97,7 @@
 		return r.Header.Get(HeaderAttempt) != ""
 	}).HandlerFunc(g.servePeer)
 	r.HandleFunc(fencePath, g.inward.serveFence).Methods(http.MethodPost)
+	r.HandleFunc(keyPath, g.keys.serve).Methods(http.MethodPost)
 	r.HandleFunc(clockPath, g.inward.serveClock).Methods(http.MethodGet)
 }
 
--- a/gateway/ingress.go
+++ b/gateway/ingress.go
@@ -50,9 +50,13 @@
 	defer cancel()
 	x.ctx = ctx
 	var a answer
-	if x.atMostOnce() {
+	key := r.Header.Get(HeaderKey)
+	switch {
+	case x.atMostOnce() && key != "":
+		a = x.keyed(key)
+	case x.atMostOnce():
 		a = x.once()
-	} else {
+	default:
 		a = x.repeatable()
 	}
 	defer a.end()
--- a/gateway/site_test.go
+++ b/gateway/site_test.go
@@ -1,6 +1,7 @@
 package gateway_test
 
 import (
+	"context"
 	"fmt"
 	"io"
 	"log/slog"
@@ -19,6 +20,7 @@
 	"github.com/cassialead/cassialead/config"
 	"github.com/cassialead/cassialead/fleet"
 	"github.com/cassialead/cassialead/gateway"
+	"github.com/cassialead/cassialead/ledger"
 	"github.com/cassialead/cassialead/route"
 	"github.com/cassialead/cassialead/standin"
 )
@@ -53,10 +55,37 @@
 service = orders
 `
 
+// memoryClaims is a store of claims in memory.
+type memoryClaims struct {
+	mu   sync.Mutex
+	held map[string]ledger.Claimer
+}
+
+// Claim makes a claimer the holder of a name unless there is one.
+func (c *memoryClaims) Claim(_ context.Context, name string, by ledger.Claimer) (ledger.Claimer, error) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.held[name] == "" {
+		c.held[name] = by
+	}
+	return c.held[name], nil
+}
+
+// Release gives a name back that a claimer holds.
+func (c *memoryClaims) Release(_ context.Context, name string, by ledger.Claimer) error {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.held[name] == by {
+		delete(c.held, name)
+	}
+	return nil
+}
+
 // site is a set of gateways, each beside a target, that know of each other without any control traffic.
 type site struct {
 	places []*place
 	cfg    *config.Config
+	claims *memoryClaims
 }
 
 // place is one VM.
@@ -68,6 +97,7 @@
 	wire    *wire
 	caller  *httptest.Server
 	peers   *httptest.Server
+	lost    bool
 	mu      sync.Mutex
 	local   map[config.ServiceName]gateway.LocalTarget
 }
@@ -162,16 +192,16 @@
 	Expect(err).NotTo(HaveOccurred())
 	cfg, err := config.Compile("test", src.Document)
 	Expect(err).NotTo(HaveOccurred())
-	s := &site{cfg: cfg}
+	s := &site{cfg: cfg, claims: &memoryClaims{held: map[string]ledger.Claimer{}}}
 	for i := range n {
-		s.places = append(s.places, newPlace(i, time.Duration(i)*skew))
+		s.places = append(s.places, newPlace(i, time.Duration(i)*skew, s.claims))
 	}
 	s.publish()
 	DeferCleanup(s.close)
 	return s
 }
 
-func newPlace(i int, skew time.Duration) *place {
+func newPlace(i int, skew time.Duration, claims gateway.Claims) *place {
 	p := &place{metrics: metrics.NewSet()}
 	t, err := standin.NewTarget(standin.TargetSettings{Service: "stock", Slots: 4, Work: time.Millisecond})
 	Expect(err).NotTo(HaveOccurred())
@@ -185,7 +215,7 @@
 		Incarnation: fleet.Incarnation(now().UnixMilli()), Sequence: 1,
 		Targets: []fleet.Target{{Service: "stock", Slots: 4}, {Service: "orders", Slots: 4}}}
 	p.gateway = gateway.New(gateway.Deps{Node: p.record, Log: slog.New(slog.NewTextHandler(io.Discard, nil)), Metrics: p.metrics,
-		Now: now, Targets: p, Chooser: route.TwoChoices{}})
+		Now: now, Targets: p, Chooser: route.TwoChoices{}, Claims: claims})
 	p.caller = httptest.NewServer(p.gateway.Ingress())
 	p.startPeers()
 	p.wire = newWire(p.peers.Listener.Addr().String())
@@ -210,7 +240,9 @@
 		rs = append(rs, r)
 	}
 	for _, p := range s.places {
-		p.gateway.Publish(s.cfg, 1, rs)
+		if !p.lost {
+			p.gateway.Publish(s.cfg, 1, rs)
+		}
 	}
 }
 
@@ -275,3 +307,14 @@
 		s.places[i].target.SetFaults(f)
 	}
 }
+
+// replaceTarget puts another target in the place of the first.
+func (p *place) replaceTarget(t *standin.Target) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.target = t
+	for name, l := range p.local {
+		l.Address = fleet.Address(t.Address())
+		p.local[name] = l
+	}
+}
--- a/node/node.go
+++ b/node/node.go
@@ -109,7 +109,7 @@
 	record := n.record()
 	n.self.Store(&record)
 	n.gateway = gateway.New(gateway.Deps{Node: record, Log: n.deps.Log, Metrics: n.deps.Metrics, Now: n.deps.Now,
-		Targets: n.targets, Chooser: n.deps.Chooser})
+		Targets: n.targets, Chooser: n.deps.Chooser, Claims: newClaims(n.deps.Store)})
 	n.callServer = n.serve(call, n.gateway.Ingress())
 	n.linkServer = n.serve(n.traffic.Listener(linkL), n.linkRouter())
 	n.localServer = n.serve(local, n.localRouter())
