--- a/cmds/apply.go
+++ b/cmds/apply.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"crypto/rand"
+	"fmt"
 	"os"
 	"os/user"
 	"time"
@@ -52,7 +53,7 @@
 func readSource(file string) (config.Source, error) {
 	data, err := os.ReadFile(file)
 	if err != nil {
-		return config.Source{}, errors.Mark(err, settings.ErrUnreadable)
+		return config.Source{}, fmt.Errorf("%w: %w", settings.ErrUnreadable, err)
 	}
 	src, err := config.Parse(file, data)
 	if err != nil {
--- a/cmds/root.go
+++ b/cmds/root.go
@@ -92,7 +92,7 @@
 			"each call to a healthy target or refuses it honestly.\n\n" + exitCodes,
 		SilenceUsage: true, SilenceErrors: true, DisableAutoGenTag: true,
 	}
-	root.SetFlagErrorFunc(func(_ *cobra.Command, err error) error { return errors.Mark(err, errUsage) })
+	root.SetFlagErrorFunc(func(_ *cobra.Command, err error) error { return fmt.Errorf("%w: %w", errUsage, err) })
 	flags := root.PersistentFlags()
 	flags.StringVar(&a.storeURL, "store", envOr("CASSIALEAD_STORE", defaultStore), "URL of the platform's key-value service")
 	flags.StringVar(&a.nodeAddress, "node", envOr("CASSIALEAD_NODE", ""), "local or link address of a node to ask")
--- a/cmds/standin.go
+++ b/cmds/standin.go
@@ -1,6 +1,7 @@
 package cmds
 
 import (
+	"fmt"
 	"net"
 	"net/http"
 	"time"
@@ -28,7 +29,7 @@
 		RunE: func(cmd *cobra.Command, _ []string) error {
 			l, err := net.Listen("tcp", listen)
 			if err != nil {
-				return errors.Mark(err, errUsage)
+				return fmt.Errorf("%w: %w", errUsage, err)
 			}
 			s := &http.Server{Handler: standin.NewStore(reads, writes).Handler(), ReadHeaderTimeout: 5 * time.Second}
 			go func() {
--- a/config/compile.go
+++ b/config/compile.go
@@ -95,7 +95,7 @@
 func Compile(file string, d Document) (*Config, error) {
 	c := compiler{
 		file: file,
-		cfg:  &Config{Services: map[ServiceName]*Service{}},
+		cfg:  &Config{Services: map[ServiceName]*Service{}, Exceptions: []*Exception{}},
 	}
 	for _, name := range d.Names() {
 		c.section(name, d[name])
--- a/history/book.go
+++ b/history/book.go
@@ -257,16 +257,16 @@
 	}
 	dec, err := zstd.NewReader(&packed, zstd.WithDecoderMaxMemory(4*config.MaxDocumentBytes), zstd.WithDecoderConcurrency(1))
 	if err != nil {
-		return nil, errors.Mark(err, ErrUnreadable)
+		return nil, fmt.Errorf("%w: %w", ErrUnreadable, err)
 	}
 	defer dec.Close()
 	data, err := io.ReadAll(dec)
 	if err != nil {
-		return nil, errors.Mark(errors.Wrap(err, "snapshot"), ErrUnreadable)
+		return nil, fmt.Errorf("%w: %w", ErrUnreadable, errors.Wrap(err, "snapshot"))
 	}
 	var doc config.Document
 	if err := json.Unmarshal(data, &doc); err != nil {
-		return nil, errors.Mark(errors.Wrap(err, "snapshot"), ErrUnreadable)
+		return nil, fmt.Errorf("%w: %w", ErrUnreadable, errors.Wrap(err, "snapshot"))
 	}
 	if doc.Digest() != s.Digest {
 		return nil, errors.Wrapf(config.ErrDigest, "snapshot of version %d", s.Version)
--- a/history/head.go
+++ b/history/head.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/json"
+	"fmt"
 	"slices"
 
 	"github.com/cockroachdb/errors"
@@ -47,7 +48,7 @@
 func DecodeHead(data []byte) (Head, error) {
 	var h Head
 	if err := json.Unmarshal(data, &h); err != nil {
-		return Head{}, errors.Mark(errors.Wrap(err, "head"), ErrUnreadable)
+		return Head{}, fmt.Errorf("%w: %w", ErrUnreadable, errors.Wrap(err, "head"))
 	}
 	if h.Lineage == "" || h.Version == 0 {
 		return Head{}, errors.Wrap(ErrUnreadable, "head has no lineage or version")
--- a/link/codec.go
+++ b/link/codec.go
@@ -1,6 +1,7 @@
 package link
 
 import (
+	"fmt"
 	"reflect"
 
 	"github.com/cockroachdb/errors"
@@ -116,7 +117,7 @@
 	case encodingZstd:
 		var err error
 		if body, err = unpacker.DecodeAll(body, nil); err != nil {
-			return nil, errors.Mark(errors.Wrap(err, "decompress"), ErrMalformed)
+			return nil, fmt.Errorf("%w: %w", ErrMalformed, errors.Wrap(err, "decompress"))
 		}
 	default:
 		return nil, errors.Wrapf(ErrMalformed, "encoding %d", frame[1])
@@ -153,7 +154,7 @@
 	}()
 	var v M
 	if err := codec.NewDecoderBytes(body, handle).Decode(&v); err != nil {
-		return nil, errors.Mark(errors.Wrap(err, "decode"), ErrMalformed)
+		return nil, fmt.Errorf("%w: %w", ErrMalformed, errors.Wrap(err, "decode"))
 	}
 	return v, nil
 }
--- a/operator/client.go
+++ b/operator/client.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"fmt"
 	"net/http"
 	"net/url"
 	"sync"
@@ -50,7 +51,7 @@
 	}
 	resp, err := c.http.Do(req)
 	if err != nil {
-		return errors.Mark(errors.Wrapf(err, "node %s", a), ErrUnreachable)
+		return fmt.Errorf("%w: %w", ErrUnreachable, errors.Wrapf(err, "node %s", a))
 	}
 	defer func() { _ = resp.Body.Close() }()
 	if resp.StatusCode != http.StatusOK {
--- a/settings/node.go
+++ b/settings/node.go
@@ -1,6 +1,7 @@
 package settings
 
 import (
+	"fmt"
 	"net"
 	"net/url"
 	"os"
@@ -41,7 +42,7 @@
 func LoadNode(file string) (Node, error) {
 	data, err := os.ReadFile(file)
 	if err != nil {
-		return Node{}, errors.Mark(err, ErrUnreadable)
+		return Node{}, fmt.Errorf("%w: %w", ErrUnreadable, err)
 	}
 	return ParseNode(file, data)
 }
--- a/standin/store.go
+++ b/standin/store.go
@@ -150,6 +150,8 @@
 		}
 		switch {
 		case f.Outage && f.Hang:
+			// The server notices that a caller has gone only once the body is read.
+			_, _ = io.Copy(io.Discard, r.Body)
 			<-r.Context().Done()
 		case f.Outage:
 			http.Error(w, "outage", http.StatusServiceUnavailable)
--- a/standin/target.go
+++ b/standin/target.go
@@ -203,14 +203,14 @@
 		http.Error(w, "shed", http.StatusServiceUnavailable)
 		return
 	}
-	if f.Stall {
-		<-r.Context().Done()
-		return
-	}
 	body, err := io.ReadAll(r.Body)
 	if err != nil {
 		return
 	}
+	if f.Stall {
+		<-r.Context().Done()
+		return
+	}
 	if order := q.Get("order"); order != "" {
 		t.mu.Lock()
 		t.runs[order]++
--- a/store/client.go
+++ b/store/client.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"context"
 	"encoding/json"
+	"fmt"
 	"io"
 	"net/http"
 	"net/url"
@@ -86,7 +87,7 @@
 	status, body, err := c.call(ctx, kind, http.MethodGet, "/v1/kv/"+string(key), query, nil, timeout)
 	switch {
 	case err != nil:
-		return nil, errors.Mark(err, ErrUnavailable)
+		return nil, fmt.Errorf("%w: %w", ErrUnavailable, err)
 	case status == http.StatusNotFound:
 		return nil, errors.Wrapf(ErrAbsent, "key %q", key)
 	case status != http.StatusOK:
@@ -121,7 +122,7 @@
 func (c *Client) write(ctx context.Context, kind, method string, key Key, query url.Values, value []byte) error {
 	status, body, err := c.call(ctx, kind, method, "/v1/kv/"+string(key), query, value, callTimeout)
 	if err != nil {
-		return errors.Mark(err, ErrUnknownOutcome)
+		return fmt.Errorf("%w: %w", ErrUnknownOutcome, err)
 	}
 	if err := writeStatus(status); err != nil {
 		return errors.Wrapf(err, "%s %q: status %d", kind, key, status)
@@ -153,7 +154,7 @@
 	body := []byte(`{"TTL":"` + ttl.String() + `","Behavior":"delete"}`)
 	status, answer, err := c.call(ctx, "grant", http.MethodPut, "/v1/session/create", nil, body, callTimeout)
 	if err != nil {
-		return "", errors.Mark(err, ErrUnknownOutcome)
+		return "", fmt.Errorf("%w: %w", ErrUnknownOutcome, err)
 	}
 	if err := writeStatus(status); err != nil {
 		return "", errors.Wrapf(err, "grant: status %d", status)
@@ -178,7 +179,7 @@
 func (c *Client) session(ctx context.Context, kind, path string, lease LeaseID) error {
 	status, _, err := c.call(ctx, kind, http.MethodPut, path+string(lease), nil, nil, callTimeout)
 	if err != nil {
-		return errors.Mark(err, ErrUnknownOutcome)
+		return fmt.Errorf("%w: %w", ErrUnknownOutcome, err)
 	}
 	return errors.Wrapf(writeStatus(status), "%s lease", kind)
 }
