--- a/measure/calls.go
+++ b/measure/calls.go
@@ -263,10 +263,12 @@
 	return nil
 }
 
+const refusalBound = 50 * time.Millisecond
+
 // measureCrest offers three times the capacity for five seconds, with and without admission.
 func measureCrest(ctx context.Context, o CallOptions, d Deployment, r *Report) error {
-	r.Columns = []string{"calls", "useful/s crest", "% of capacity", "answered p99 ms", "refused", "refused p50 ms", "refused p99 ms",
-		"failed", "useful after %"}
+	r.Columns = []string{"calls", "useful/s crest", "% of capacity", "answered p99 ms", "refused", "refused p50 ms",
+		"refused at once %", "failed", "useful after %"}
 	const work = 400 * time.Millisecond
 	const before, crest, after = 3 * time.Second, 5 * time.Second, 4 * time.Second
 	capacity := d.slots() / work.Seconds()
@@ -301,7 +303,7 @@
 		row := Row{"calls": float64(out.Calls), "useful/s crest": float64(useful) / crest.Seconds(),
 			"% of capacity":   100 * float64(useful) / crest.Seconds() / capacity,
 			"answered p99 ms": milliseconds(out.Quantile(99)), "refused": float64(out.NotRun), "failed": float64(out.Failed),
-			"refused p50 ms": float64(out.Refused.ValueAtQuantile(50)) / 1000, "refused p99 ms": float64(out.Refused.ValueAtQuantile(99)) / 1000,
+			"refused p50 ms": float64(out.Refused.ValueAtQuantile(50)) / 1000, "refused at once %": 100 * out.RefusedWithin(refusalBound),
 			"useful after %": 100 * float64(back) / (after.Seconds() - 1) / (0.2 * capacity)}
 		r.add(d.Name+": "+way.label, row)
 		f.Close()
--- a/measure/load.go
+++ b/measure/load.go
@@ -76,6 +76,20 @@
 	return time.Duration(o.Answered.ValueAtQuantile(q)) * time.Microsecond
 }
 
+// RefusedWithin returns the share of the refusals that came within a time.
+func (o *Outcome) RefusedWithin(d time.Duration) float64 {
+	if o.Refused.TotalCount() == 0 {
+		return 1
+	}
+	var within int64
+	for _, b := range o.Refused.Distribution() {
+		if b.To <= d.Microseconds() {
+			within += b.Count
+		}
+	}
+	return float64(within) / float64(o.Refused.TotalCount())
+}
+
 // Run sends streams for a time and waits for their answers.
 func Run(ctx context.Context, seed uint64, length time.Duration, streams ...Stream) []*Outcome {
 	transport := &http.Transport{MaxIdleConnsPerHost: loadConnections, DisableCompression: true}
--- a/route/budget.go
+++ b/route/budget.go
@@ -5,7 +5,8 @@
 const (
 	repeatShare  = 0.05 // of calls at the top of a call path that may be repeated or hedged
 	refusalShare = 0.10 // of calls that may be sent elsewhere after a refusal
-	budgetBurst  = 10   // repeats
+	repeatBurst  = 2    // repeats in hand at most; each node of a service has its own
+	refusalBurst = 10   // attempts elsewhere in hand at most
 )
 
 // Budget bounds the extra attempts of a node as a share of its calls.
@@ -19,14 +20,14 @@
 }
 
 // NewBudget returns a budget that starts with a burst in hand.
-func NewBudget() *Budget { return &Budget{repeats: budgetBurst, refusals: budgetBurst} }
+func NewBudget() *Budget { return &Budget{repeats: repeatBurst, refusals: refusalBurst} }
 
 // Earn adds the share of one call at a depth; the top of a path has depth 0.
 func (b *Budget) Earn(depth int) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	b.repeats = min(b.repeats+repeatShare/float64(1+depth), budgetBurst)
-	b.refusals = min(b.refusals+refusalShare, budgetBurst)
+	b.repeats = min(b.repeats+repeatShare/float64(1+depth), repeatBurst)
+	b.refusals = min(b.refusals+refusalShare, refusalBurst)
 }
 
 // Repeat takes a hedge or a repeat of a call that may have run; it reports false when the budget is spent.
