--- a/cmds/root.go
+++ b/cmds/root.go
@@ -99,7 +99,7 @@
 	flags.StringVar(&a.output, "output", "text", "text or json")
 	root.AddCommand(a.nodeCommand(), a.applyCommand(), a.checkCommand(), a.diffCommand(), a.showCommand(), a.historyCommand(),
 		a.rollbackCommand(), a.exceptionsCommand(), a.statusCommand(), a.explainCommand(), a.drainCommand(),
-		a.recoverCommand(), a.standinCommand(), a.demoCommand(), a.measureCommand(), a.versionCommand())
+		a.recoverCommand(), a.standinCommand(), a.demoCommand(), a.measureCommand(), a.versionCommand(), docsCommand())
 	return root
 }
 
