route: bound the bytes that spilled calls send between regions

Cause: spill followed load alone, and a rush could have filled the link that is paid by volume. Each node gets its share of spill-bandwidth (3 Mbit/s a region by default), counted on requests and answers; calls without a nearer target go over in any case. Test: with the share overdrawn no call spills, and one whose region has no target still does.

--- a/config/compile.go
+++ b/config/compile.go
@@ -2,8 +2,11 @@
 
 import (
 	"slices"
+	"strconv"
 	"strings"
 	"time"
+
+	"github.com/cockroachdb/errors"
 )
 
 // ServiceName names a service.
@@ -20,6 +23,30 @@
 	Services   map[ServiceName]*Service
 	Routes     []*Route // longest path first
 	Exceptions []*Exception
+	// SpillBandwidth is the share of the link to other regions that spilled calls of a region may use.
+	SpillBandwidth BitsPerSecond
+}
+
+// BitsPerSecond is a rate of data.
+type BitsPerSecond float64
+
+const (
+	defaultSpillBandwidth BitsPerSecond = 3e6
+	maxSpillBandwidth     BitsPerSecond = 100e9
+)
+
+func parseBandwidth(s string) (BitsPerSecond, error) {
+	for unit, factor := range map[string]float64{"kbit": 1e3, "Mbit": 1e6, "Gbit": 1e9} {
+		number, ok := strings.CutSuffix(s, unit)
+		if !ok {
+			continue
+		}
+		n, err := strconv.ParseFloat(strings.TrimSpace(number), 64)
+		if rate := BitsPerSecond(n * factor); err == nil && rate > 0 && rate <= maxSpillBandwidth {
+			return rate, nil
+		}
+	}
+	return 0, errors.Newf("want a rate with a unit such as 3Mbit, got %q", s)
 }
 
 // Service is a named group of targets.
@@ -95,7 +122,8 @@
 func Compile(file string, d Document) (*Config, error) {
 	c := compiler{
 		file: file,
-		cfg:  &Config{Services: map[ServiceName]*Service{}, Exceptions: []*Exception{}},
+		cfg: &Config{Services: map[ServiceName]*Service{}, Exceptions: []*Exception{},
+			SpillBandwidth: defaultSpillBandwidth},
 	}
 	for _, name := range d.Names() {
 		c.section(name, d[name])
@@ -127,7 +155,8 @@
 		if label != "" {
 			c.fail(name, "", "the defaults section takes no name")
 		}
-		c.defaults = c.overlay(name, body, "")
+		c.defaults = c.overlay(name, body, "spill-bandwidth")
+		c.bandwidth(name, body["spill-bandwidth"])
 		return
 	case "service", "route", "exception":
 	default:
@@ -148,6 +177,17 @@
 	}
 }
 
+func (c *compiler) bandwidth(name SectionName, value string) {
+	if value == "" {
+		return
+	}
+	rate, err := parseBandwidth(value)
+	if err != nil {
+		c.fail(name, "spill-bandwidth", err.Error())
+	}
+	c.cfg.SpillBandwidth = rate
+}
+
 func validName(s string) bool {
 	if s == "" || len(s) > 100 {
 		return false
--- a/config/config_test.go
+++ b/config/config_test.go
@@ -42,6 +42,7 @@
 		"has two routes with one path":          {service + "[route r]\npath = /r\nservice = a\n[route s]\npath = /r\nservice = a\n", "has the same host and path"},
 		"has a key that is unknown":             {"[defaults]\ntimeouts = 1s\n", `section [defaults]: key "timeouts": unknown key`},
 		"has a duration without a unit":         {"[defaults]\ntimeout = 5\n", `want a duration with a unit such as 2s, got "5"`},
+		"has a bandwidth without a unit":        {"[defaults]\nspill-bandwidth = 3\n", `key "spill-bandwidth": want a rate with a unit such as 3Mbit, got "3"`},
 		"has a section of an unknown kind":      {"[services]\n", "section [services]: unknown section"},
 		"is not UTF-8":                          {"[defaults]\ntimeout = \xff\n", "the document is not valid UTF-8"},
 		"is too large":                          {"[defaults]\n;" + strings.Repeat("x", 2<<20), "at most 1048576 are accepted"},
--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -73,7 +73,36 @@
 	if e.Node == x.g.deps.Node.Node {
 		return x.g.inward.do(ctx, c, req), nil
 	}
-	return x.g.peers.of(c.class).RoundTrip(req)
+	resp, err := x.g.peers.of(c.class).RoundTrip(req)
+	if err == nil && e.Distance == route.OtherRegion {
+		x.meterSpill(req, resp)
+	}
+	return resp, err
+}
+
+// meterSpill counts a call's bytes against the budget of the link between regions.
+func (x *exchange) meterSpill(req *http.Request, resp *http.Response) {
+	spend := func(n int) {
+		x.table.Spill().Spend(n)
+		x.g.meters.regionBytes.Add(n)
+	}
+	spend(int(max(req.ContentLength, 0)) + spillOverhead)
+	resp.Body = &meteredBody{resp.Body, spend}
+}
+
+const spillOverhead = 1000 // bytes of both headers
+
+// meteredBody reports the bytes read from an answer.
+type meteredBody struct {
+	io.ReadCloser
+	spend func(int)
+}
+
+// Read reads from the answer.
+func (b *meteredBody) Read(p []byte) (int, error) {
+	n, err := b.ReadCloser.Read(p)
+	b.spend(n)
+	return n, err
 }
 
 // repeatable brings a call to a target that may be tried again or hedged.
--- a/gateway/meters.go
+++ b/gateway/meters.go
@@ -19,7 +19,7 @@
 	tenants  atomic.Int64
 	refusals sync.Map // Cause to *metrics.Counter
 
-	hedges, hedgeWins, repeats, elsewhere, fences, crossed, aborted *metrics.Counter
+	hedges, hedgeWins, repeats, elsewhere, fences, crossed, aborted, regionBytes *metrics.Counter
 }
 
 type meterKey struct {
@@ -34,13 +34,14 @@
 
 func newMeters(set *metrics.Set) *meters {
 	return &meters{set: set,
-		hedges:    set.NewCounter("cassialead_hedges_total"),
-		hedgeWins: set.NewCounter("cassialead_hedge_wins_total"),
-		repeats:   set.NewCounter("cassialead_repeats_total"),
-		elsewhere: set.NewCounter("cassialead_refused_elsewhere_total"),
-		fences:    set.NewCounter("cassialead_fences_total"),
-		crossed:   set.NewCounter("cassialead_crossed_answers_total"),
-		aborted:   set.NewCounter("cassialead_aborted_answers_total"),
+		hedges:      set.NewCounter("cassialead_hedges_total"),
+		hedgeWins:   set.NewCounter("cassialead_hedge_wins_total"),
+		repeats:     set.NewCounter("cassialead_repeats_total"),
+		elsewhere:   set.NewCounter("cassialead_refused_elsewhere_total"),
+		fences:      set.NewCounter("cassialead_fences_total"),
+		crossed:     set.NewCounter("cassialead_crossed_answers_total"),
+		regionBytes: set.NewCounter("cassialead_region_bytes_total"),
+		aborted:     set.NewCounter("cassialead_aborted_answers_total"),
 	}
 }
 
--- a/gateway/order.go
+++ b/gateway/order.go
@@ -163,6 +163,9 @@
 	results := make(chan outcome, 1)
 	go func() {
 		resp, err := o.x.g.peers.of(o.call.class).RoundTrip(o.x.outgoing(ctx, o.endpoint, o.call, body))
+		if err == nil && o.endpoint.Distance == route.OtherRegion {
+			o.x.meterSpill(resp.Request, resp)
+		}
 		if err == nil {
 			err = readWhole(resp)
 		}
--- a/measure/calls.go
+++ b/measure/calls.go
@@ -16,7 +16,7 @@
 
 // CallOptions choose what to measure of calls.
 type CallOptions struct {
-	// Scenarios are added, straggler, long, crest and repeats.
+	// Scenarios are added, straggler, long, crest, repeats and spill.
 	Scenarios []string
 	Length    time.Duration
 	Seed      uint64
@@ -91,6 +91,7 @@
 
 var scenarios = map[string]scenario{
 	"added": measureAdded, "straggler": measureStraggler, "long": measureLong, "crest": measureCrest, "repeats": measureRepeats,
+	"spill": measureSpill,
 }
 
 // Calls measures the policy of calls against plain baselines, one report a scenario.
@@ -352,3 +353,46 @@
 	}
 	return nil
 }
+
+// measureSpill overloads one region and counts the bytes that its calls send to the other.
+func measureSpill(ctx context.Context, o CallOptions, d Deployment, r *Report) error {
+	r.Columns = []string{"calls", "ok %", "p50 ms", "p99 ms", "kbit/s across", "of budget %", "after kbit/s"}
+	const work, bytes = 50 * time.Millisecond, 20_000
+	for _, way := range []struct {
+		label  string
+		budget float64 // kbit/s
+	}{{"3 Mbit/s budget", 3000}, {"no budget", 1e6}} {
+		f, err := d.start(ctx, o.Seed, func(doc config.Document) {
+			doc["defaults"]["spill-bandwidth"] = fmt.Sprintf("%gkbit", way.budget)
+			doc["route spill"] = config.Section{"path": "/spill", "service": d.ShortService, "calls": "idempotent", "max-wait": "1s"}
+		})
+		if err != nil {
+			return err
+		}
+		home := f.VMs[0].Centre.Region
+		var urls []string
+		slots := 0.0
+		for _, v := range f.VMs {
+			if v.Centre.Region != home {
+				continue
+			}
+			urls = append(urls, fmt.Sprintf("http://%s/spill?work=%s&bytes=%d", v.Call(), work, bytes))
+			if v.Service == d.ShortService {
+				slots += d.slots() / float64(d.Layout.Services[0].Upstreams)
+			}
+		}
+		capacity := slots / work.Seconds()
+		before := f.Counter("cassialead_region_bytes_total")
+		out := Run(ctx, o.Seed, o.Length, inTurn(urls, Steady(1.3*capacity)))[0]
+		crossed := f.Counter("cassialead_region_bytes_total") - before
+		Run(ctx, o.Seed, 2*time.Second, inTurn(urls, Steady(0.3*capacity)))
+		before = f.Counter("cassialead_region_bytes_total")
+		Run(ctx, o.Seed, 2*time.Second, inTurn(urls, Steady(0.3*capacity)))
+		rate := crossed * 8 / 1000 / o.Length.Seconds()
+		r.add(d.Name+": "+way.label, Row{"calls": float64(out.Calls), "ok %": 100 * float64(out.OK) / float64(out.Calls),
+			"p50 ms": milliseconds(out.Quantile(50)), "p99 ms": milliseconds(out.Quantile(99)), "kbit/s across": rate,
+			"of budget %": 100 * rate / way.budget, "after kbit/s": (f.Counter("cassialead_region_bytes_total") - before) * 8 / 1000 / 2})
+		f.Close()
+	}
+	return nil
+}
--- a/route/route_test.go
+++ b/route/route_test.go
@@ -95,6 +95,30 @@
 		}
 	})
 
+	It("spills to another region within the budget of bytes, and without one only where no target is nearer", func() {
+		y := newYard(map[fleet.DataCentre]int{"here": 1, "far": 2})
+		y.slow["here-0"] = 200 * time.Millisecond
+		y.run(20, answered)
+		var held []route.Lease
+		far := func(n int) int {
+			count := 0
+			for range n {
+				l := y.pick()
+				held = append(held, l)
+				if l.Endpoint.Distance == route.OtherRegion {
+					count++
+				}
+			}
+			return count
+		}
+		Expect(far(10)).To(BeNumerically(">", 0))
+		y.table.Spill().Spend(10_000_000)
+		Expect(far(10)).To(Equal(0))
+		only := newYard(map[fleet.DataCentre]int{"far": 2})
+		only.table.Spill().Spend(10_000_000)
+		Expect(only.pick().Endpoint.Distance).To(Equal(route.OtherRegion))
+	})
+
 	It("sends few calls to a straggler, and its share comes back when it recovers", func() {
 		y := newYard(map[fleet.DataCentre]int{"here": 5})
 		y.run(200, answered)
--- a/route/table.go
+++ b/route/table.go
@@ -45,6 +45,7 @@
 	Version  config.Version
 	Config   *config.Config
 	chooser  Chooser
+	spill    *ByteBudget
 	services map[config.ServiceName]*[distances][]*Endpoint
 }
 
@@ -52,6 +53,7 @@
 type Board struct {
 	self    fleet.Record
 	chooser Chooser
+	spill   *ByteBudget
 	mu      sync.Mutex
 	seen    map[endpointKey]*observed
 }
@@ -64,22 +66,26 @@
 
 // NewBoard returns a board for the node with the given record.
 func NewBoard(self fleet.Record, chooser Chooser) *Board {
-	return &Board{self: self, chooser: chooser, seen: map[endpointKey]*observed{}}
+	return &Board{self: self, chooser: chooser, spill: &ByteBudget{}, seen: map[endpointKey]*observed{}}
 }
 
 // Compile builds the table for a configuration and the records held; services without targets stay empty.
 func (b *Board) Compile(cfg *config.Config, v config.Version, records []fleet.Record, now time.Time) *Table {
-	t := &Table{Version: v, Config: cfg, chooser: b.chooser, services: map[config.ServiceName]*[distances][]*Endpoint{}}
+	t := &Table{Version: v, Config: cfg, chooser: b.chooser, spill: b.spill, services: map[config.ServiceName]*[distances][]*Endpoint{}}
 	if cfg == nil {
 		return t
 	}
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	kept := map[endpointKey]*observed{}
+	neighbours := 1
 	for _, r := range records {
 		if r.State != fleet.Serving {
 			continue
 		}
+		if r.Region == b.self.Region && r.Node != b.self.Node {
+			neighbours++
+		}
 		d := b.distance(r)
 		for _, target := range r.Targets {
 			if cfg.Services[target.Service] == nil {
@@ -101,9 +107,13 @@
 		}
 	}
 	b.seen = kept
+	b.spill.setRate(float64(cfg.SpillBandwidth)/8/float64(neighbours), now)
 	return t
 }
 
+// Spill returns the node's budget of bytes between regions.
+func (t *Table) Spill() *ByteBudget { return t.spill }
+
 func (b *Board) distance(r fleet.Record) Distance {
 	switch {
 	case r.DataCentre == b.self.DataCentre:
@@ -156,8 +166,9 @@
 	probe    bool
 }
 
-// Pick chooses a target: the better of two at random in the nearest group, unless a farther group's is better by more
-// than the way there costs.
+// Pick chooses a target: the better of two at random in the nearest group, unless that one would make the call wait and
+// a farther group's is better by more than the way there costs. Calls that another region could take wait here once the
+// node's share of the link is used up; calls that have no nearer target go there all the same.
 func (t *Table) Pick(q Query, now time.Time, rng *rand.Rand) (Lease, error) {
 	groups := t.services[q.Service]
 	if groups == nil {
@@ -166,6 +177,9 @@
 	var best *Endpoint
 	bestCost := 0.0
 	for d := range farthest(q.Reach) + 1 {
+		if d == OtherRegion && best != nil && !t.spill.allows(now) {
+			break
+		}
 		e, cost, probe := t.choose(groups[d], q, now, rng)
 		if e == nil {
 			continue
--- /dev/null
+++ b/trial/trial_test.go
@@ -0,0 +1,166 @@
+package trial_test
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/gorilla/websocket"
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"github.com/cassialead/cassialead/config"
+	"github.com/cassialead/cassialead/link"
+	"github.com/cassialead/cassialead/standin"
+	"github.com/cassialead/cassialead/trial"
+)
+
+func TestTrial(t *testing.T) {
+	RegisterFailHandler(Fail)
+	RunSpecs(t, "trial")
+}
+
+const patience = 30 * time.Second
+
+func layout() trial.Layout {
+	return trial.Layout{
+		Centres:  []trial.Centre{{Name: "norte", Region: "costa"}, {Name: "arauca", Region: "llanos"}},
+		Services: []trial.Service{{Name: "drawings", Upstreams: 4, Slots: 4, Connections: 32}},
+	}
+}
+
+func document(timeout string) config.Document {
+	return config.Document{
+		"defaults":         {"timeout": timeout},
+		"service drawings": {"calls": "idempotent"},
+		"route drawings":   {"path": "/drawings", "service": "drawings", "class": "long"},
+	}
+}
+
+// running returns a fleet in which every node reaches every target.
+func running() *trial.Fleet {
+	f, err := trial.New(layout(), 1, nil)
+	Expect(err).NotTo(HaveOccurred())
+	DeferCleanup(f.Close)
+	_, err = f.Apply(context.Background(), document("20s"), "first")
+	Expect(err).NotTo(HaveOccurred())
+	Expect(f.AwaitTargets(layout(), patience)).To(Succeed())
+	return f
+}
+
+func get(v *trial.VM, path string) (int, string, error) {
+	resp, err := http.Get("http://" + v.Call() + path)
+	if err != nil {
+		return 0, "", err
+	}
+	defer func() { _ = resp.Body.Close() }()
+	body, err := io.ReadAll(resp.Body)
+	return resp.StatusCode, string(body), err
+}
+
+var _ = Describe("a fleet of whole nodes", func() {
+	It("serves a download to its end while every other node is replaced", func() {
+		f := running()
+		caller := f.VMs[0]
+		type download struct {
+			n   int
+			err error
+		}
+		done := make(chan download, 1)
+		go func() {
+			_, body, err := get(caller, "/drawings?bytes=5000000&work=6s")
+			done <- download{len(body), err}
+		}()
+		Eventually(func() int {
+			n := 0
+			for _, v := range f.VMs {
+				n += v.Target.Peak()
+			}
+			return n
+		}, patience).Should(Equal(1))
+		for _, v := range f.VMs[1:] {
+			f.Stop(v)
+			_, err := f.Restart(v, layout().Services[0])
+			Expect(err).NotTo(HaveOccurred())
+		}
+		var d download
+		Eventually(done, patience).Should(Receive(&d))
+		Expect(d.err).NotTo(HaveOccurred())
+		Expect(d.n).To(Equal(5000000))
+	})
+
+	It("goes on serving, and keeps its version, while the store is out and a lead dies", func() {
+		f := running()
+		f.Store.SetFaults(standin.StoreFaults{Outage: true})
+		var lead *trial.VM
+		for _, v := range f.VMs {
+			if v.Node.Status().Lease {
+				lead = v
+			}
+		}
+		Expect(lead).NotTo(BeNil())
+		f.Kill(lead)
+		for _, v := range f.VMs {
+			Eventually(func() int {
+				status, _, _ := get(v, "/drawings")
+				return status
+			}, patience).Should(Equal(http.StatusOK))
+			Expect(v.Node.Version()).To(Equal(config.Version(1)))
+		}
+		f.Store.SetFaults(standin.StoreFaults{})
+		v, err := f.Apply(context.Background(), document("19s"), "after")
+		Expect(err).NotTo(HaveOccurred())
+		_, err = f.AwaitVersion(v, patience)
+		Expect(err).NotTo(HaveOccurred())
+	})
+
+	It("drops a peer that sends nonsense and is not disturbed", func() {
+		f := running()
+		_, address, _ := f.VMs[0].Node.Addresses()
+		frames := map[string][]byte{
+			"garbage":             []byte("not a frame at all"),
+			"a truncated message": {1, 0, 0xa3, 0x61},
+			"a huge frame":        make([]byte, link.MaxFrameBytes+1),
+			"no hello":            {3, 0, 0xa0},
+		}
+		for name, frame := range frames {
+			ws, resp, err := websocket.DefaultDialer.Dial("ws://"+string(address)+link.Path, nil)
+			Expect(err).NotTo(HaveOccurred(), name)
+			_ = resp.Body.Close()
+			_ = ws.WriteMessage(websocket.BinaryMessage, frame)
+			Expect(ws.SetReadDeadline(time.Now().Add(patience))).To(Succeed())
+			_, _, err = ws.ReadMessage()
+			Expect(err).To(HaveOccurred(), name)
+			Expect(strings.Contains(err.Error(), "i/o timeout")).To(BeFalse(), "%s: the node closes the link", name)
+		}
+		v, err := f.Apply(context.Background(), document("18s"), "after")
+		Expect(err).NotTo(HaveOccurred())
+		_, err = f.AwaitVersion(v, patience)
+		Expect(err).NotTo(HaveOccurred())
+	})
+
+	It("keeps a message of a later release from closing a link", func() {
+		f := running()
+		before := f.Counter("cassialead_link_unknown_messages_total")
+		_, address, _ := f.VMs[0].Node.Addresses()
+		ws, resp, err := websocket.DefaultDialer.Dial("ws://"+string(address)+link.Path, nil)
+		Expect(err).NotTo(HaveOccurred())
+		_ = resp.Body.Close()
+		defer func() { _ = ws.Close() }()
+		Expect(ws.WriteMessage(websocket.BinaryMessage, []byte{200, 0, 0xa0})).To(Succeed())
+		Eventually(func() float64 { return f.Counter("cassialead_link_unknown_messages_total") - before }, patience).Should(Equal(1.0))
+	})
+
+	It("takes a target that stops announcing itself out of service", func() {
+		f := running()
+		v := f.VMs[1]
+		v.Target.Kill()
+		_, err := f.Await(patience, func(o *trial.VM) bool { return o.Node.Endpoints("drawings") == 3 })
+		Expect(err).NotTo(HaveOccurred())
+		Expect(fmt.Sprint(get(f.VMs[0], "/drawings"))).To(HavePrefix("200"))
+	})
+})
