--- a/cmds/measure.go
+++ b/cmds/measure.go
@@ -10,7 +10,7 @@
 
 func (a *app) measureCommand() *cobra.Command {
 	cmd := &cobra.Command{Use: "measure", Short: "Run the measurements behind the capacity figures on this machine"}
-	cmd.AddCommand(a.measureControl(), a.measureCalls())
+	cmd.AddCommand(a.measureControl(), a.measureCalls(), a.measureState())
 	return cmd
 }
 
@@ -59,8 +59,30 @@
 		},
 	}
 	f := cmd.Flags()
-	f.StringSliceVar(&o.Scenarios, "scenarios", []string{"added", "straggler", "long", "crest", "repeats"}, "what to measure")
+	f.StringSliceVar(&o.Scenarios, "scenarios", []string{"added", "straggler", "long", "crest", "repeats", "spill"}, "what to measure")
 	f.DurationVar(&o.Length, "length", 10*time.Second, "length of each run")
 	f.Uint64Var(&o.Seed, "seed", 1, "seed of all random choices")
 	return cmd
 }
+
+func (a *app) measureState() *cobra.Command {
+	var o measure.StateOptions
+	cmd := &cobra.Command{
+		Use:     "state",
+		Short:   "Measure the size and processor time of the records and the document that a node holds",
+		Example: "  cassialead measure state --sizes 500,1000,2000,5900",
+		Args:    cobra.NoArgs,
+		RunE: func(*cobra.Command, []string) error {
+			r, err := measure.State(o)
+			if err != nil {
+				return err
+			}
+			return a.print(r, func() { r.Print(a.out) })
+		},
+	}
+	f := cmd.Flags()
+	f.IntSliceVar(&o.Sizes, "sizes", []int{500, 1000, 2000, 4000, 5900}, "numbers of records")
+	f.IntVar(&o.Services, "services", 240, "services in the document")
+	f.Uint64Var(&o.Seed, "seed", 1, "recorded with the figures; nothing here is random")
+	return cmd
+}
