--- a/admission/queue.go
+++ b/admission/queue.go
@@ -13,6 +13,7 @@
 	durationWeight    = 0.05 // of a new duration in the mean
 	peakDecay         = 0.98 // of the short calls' recent peak, each time a call ends
 	minRetryAfter     = 50 * time.Millisecond
+	waitMargin        = 80 // percent of the longest wait that the expected one may reach
 )
 
 // Cause says why a call was refused.
@@ -155,7 +156,7 @@
 	}
 	wait := l.expectedWait(q.capacity(t.Request), l.ahead(t))
 	latest := min(t.MaxWait, t.Deadline.Sub(now)-seconds(l.mean))
-	if wait > latest {
+	if wait > latest*waitMargin/100 {
 		return Refused{Cause: TooLate, RetryAfter: max(wait-latest, minRetryAfter)}
 	}
 	if l.waiting >= q.slots*queuePerSlot && !q.evict(l, t) {
--- a/cmds/measure.go
+++ b/cmds/measure.go
@@ -10,7 +10,7 @@
 
 func (a *app) measureCommand() *cobra.Command {
 	cmd := &cobra.Command{Use: "measure", Short: "Run the measurements behind the capacity figures on this machine"}
-	cmd.AddCommand(a.measureControl(), a.measureCalls(), a.measureState())
+	cmd.AddCommand(a.measureControl(), a.measureCalls(), a.measureState(), a.measureLinks())
 	return cmd
 }
 
@@ -86,3 +86,24 @@
 	f.Uint64Var(&o.Seed, "seed", 1, "recorded with the figures; nothing here is random")
 	return cmd
 }
+
+func (a *app) measureLinks() *cobra.Command {
+	var o measure.LinkOptions
+	cmd := &cobra.Command{
+		Use:     "links",
+		Short:   "Measure the processor time of idle links to one node",
+		Example: "  cassialead measure links --sizes 50,100,200",
+		Args:    cobra.NoArgs,
+		RunE: func(cmd *cobra.Command, _ []string) error {
+			r, err := measure.Links(cmd.Context(), o)
+			if err != nil {
+				return err
+			}
+			return a.print(r, func() { r.Print(a.out) })
+		},
+	}
+	f := cmd.Flags()
+	f.IntSliceVar(&o.Sizes, "sizes", []int{50, 100, 200}, "numbers of links")
+	f.Uint64Var(&o.Seed, "seed", 1, "seed of all random choices")
+	return cmd
+}
--- a/gateway/inward.go
+++ b/gateway/inward.go
@@ -34,7 +34,7 @@
 type gate struct {
 	mu     sync.Mutex // guards queue
 	queue  *admission.Queue
-	target LocalTarget
+	target atomic.Pointer[LocalTarget]
 	// short and long keep their connections apart; once opens a new one for each call, which is never sent twice.
 	short, long, once *http.Transport
 }
@@ -52,16 +52,16 @@
 		return nil
 	}
 	g := in.gates[s]
-	if g == nil || g.target.Address != t.Address || g.target.Connections != t.Connections {
+	if g == nil || g.target.Load().Address != t.Address || g.target.Load().Connections != t.Connections {
 		g = newGate(t)
 		in.gates[s] = g
+		return g
 	}
-	if g.target.Slots != t.Slots {
+	if old := g.target.Swap(&t); old.Slots != t.Slots {
 		g.mu.Lock()
 		g.queue.SetSlots(t.Slots)
 		g.mu.Unlock()
 	}
-	g.target = t
 	return g
 }
 
@@ -69,8 +69,10 @@
 	once := newTransport(0)
 	once.DisableKeepAlives = true
 	longConnections := t.Connections / 2
-	return &gate{queue: admission.NewQueue(t.Slots), target: t, once: once,
+	g := &gate{queue: admission.NewQueue(t.Slots), once: once,
 		short: newTransport(t.Connections - longConnections), long: newTransport(longConnections)}
+	g.target.Store(&t)
+	return g
 }
 
 // slot is a held slot of a target.
@@ -171,7 +173,7 @@
 	}
 	resp.Body = &slotBody{ReadCloser: resp.Body, slot: s, cancel: cancel}
 	removeOwnHeaders(resp.Header, HeaderAttempt)
-	if g.target.Echo && resp.Header.Get(HeaderAttempt) != string(c.attempt) {
+	if g.target.Load().Echo && resp.Header.Get(HeaderAttempt) != string(c.attempt) {
 		in.meters.crossed.Inc()
 		_ = resp.Body.Close()
 		return in.tell(g, s, Refusal{http.StatusBadGateway, CauseCrossed, RanUnknown,
@@ -189,7 +191,7 @@
 // turnAway refuses calls that can't have a place here at all.
 func (in *inward) turnAway(g *gate) *Refusal {
 	switch {
-	case in.closed.Load() || (g != nil && g.target.Draining):
+	case in.closed.Load() || (g != nil && g.target.Load().Draining):
 		r := notRun(http.StatusServiceUnavailable, CauseDraining, "the target is leaving; the call has not run")
 		return &r
 	case g == nil:
@@ -226,7 +228,7 @@
 func (in *inward) outgoing(ctx context.Context, g *gate, c call, req *http.Request) *http.Request {
 	out := req.Clone(ctx)
 	out.URL.Scheme = "http"
-	out.URL.Host = string(g.target.Address)
+	out.URL.Host = string(g.target.Load().Address)
 	out.RequestURI = ""
 	out.Close = false
 	removeHopHeaders(out.Header)
--- a/gateway/once.go
+++ b/gateway/once.go
@@ -105,7 +105,7 @@
 
 func (in *inward) readResult(g *gate, c call, resp *http.Response) ledger.Result {
 	defer func() { _ = resp.Body.Close() }()
-	if g.target.Echo && resp.Header.Get(HeaderAttempt) != string(c.attempt) {
+	if g.target.Load().Echo && resp.Header.Get(HeaderAttempt) != string(c.attempt) {
 		in.meters.crossed.Inc()
 		return ledger.Result{Lost: true}
 	}
--- a/gateway/transport.go
+++ b/gateway/transport.go
@@ -10,8 +10,8 @@
 
 const (
 	connectTimeout   = time.Second
-	idleConnections  = 64 // kept open to each node or target and class
-	idleLife         = 30 * time.Second
+	idleConnections  = 64              // kept open to each node or target and class
+	idleLife         = 3 * time.Minute // a pair of nodes in a large data centre calls each other every few seconds
 	continueTimeout  = time.Second
 	transportBuffer  = 8 << 10
 	maxHeaderBytes   = 64 << 10
--- a/link/conn.go
+++ b/link/conn.go
@@ -124,13 +124,19 @@
 	return &Conn{ws: ws, traffic: t, queue: make(chan control.Message, queueLength), ended: make(chan struct{})}
 }
 
-// Send queues a message; a link whose queue is full is closed.
-func (c *Conn) Send(m control.Message) {
+// Send queues a message and reports whether the link is open; a link whose queue is full is closed.
+func (c *Conn) Send(m control.Message) bool {
 	select {
-	case c.queue <- m:
 	case <-c.ended:
+		return false
+	default:
+	}
+	select {
+	case c.queue <- m:
+		return true
 	default:
 		c.end()
+		return false
 	}
 }
 
