all: use the field's terms for keys, history and test fixtures

Names that needed explaining are replaced: history.Book is history.Log, a key that can't be granted is unverified, a node's last event is Shutdown, and the fixtures of the tests are called so.

--- a/admission/queue_test.go
+++ b/admission/queue_test.go
@@ -17,20 +17,20 @@
 	RunSpecs(t, "admission")
 }
 
-// bench drives a queue in virtual time.
-type bench struct {
+// fixture drives a queue in virtual time.
+type fixture struct {
 	now     time.Time
 	queue   *admission.Queue
 	granted []string
 	refused map[string]admission.Cause
 }
 
-func newBench(slots int) *bench {
-	return &bench{now: time.Unix(1000, 0), queue: admission.NewQueue(slots), refused: map[string]admission.Cause{}}
+func newFixture(slots int) *fixture {
+	return &fixture{now: time.Unix(1000, 0), queue: admission.NewQueue(slots), refused: map[string]admission.Cause{}}
 }
 
 // offer asks for a slot for a named call; wait bounds both its deadline and its time in the queue.
-func (b *bench) offer(name string, tenant config.Tenant, class config.Class, wait time.Duration) admission.Decision {
+func (b *fixture) offer(name string, tenant config.Tenant, class config.Class, wait time.Duration) admission.Decision {
 	note := func(d admission.Decision) {
 		switch d := d.(type) {
 		case admission.Admitted:
@@ -46,14 +46,14 @@
 }
 
 // done ends the call that has run longest.
-func (b *bench) done(class config.Class, held time.Duration) {
+func (b *fixture) done(class config.Class, held time.Duration) {
 	b.now = b.now.Add(held)
 	b.queue.Done(b.now, class, held)
 }
 
 var _ = Describe("a queue of calls for a target", func() {
 	It("never lets long calls take every slot", func() {
-		b := newBench(9)
+		b := newFixture(9)
 		for i := range 30 {
 			b.offer(fmt.Sprintf("render-%d", i), "hall", config.ClassLong, time.Minute)
 		}
@@ -62,7 +62,7 @@
 	})
 
 	It("gives slots back to short calls down to the declared share when they come in numbers", func() {
-		b := newBench(10)
+		b := newFixture(10)
 		for i := range 20 {
 			b.offer(fmt.Sprintf("render-%d", i), "hall", config.ClassLong, time.Minute)
 		}
@@ -83,7 +83,7 @@
 	})
 
 	It("serves a tenant in its turn while another floods", func() {
-		b := newBench(1)
+		b := newFixture(1)
 		for i := range 8 {
 			b.offer(fmt.Sprintf("flood-%d", i), "flooder", config.ClassShort, time.Minute)
 		}
@@ -96,7 +96,7 @@
 	})
 
 	It("turns away the flooder's calls, not the other tenant's, when it is full", func() {
-		b := newBench(1)
+		b := newFixture(1)
 		for i := range 20 {
 			b.offer(fmt.Sprintf("flood-%d", i), "flooder", config.ClassShort, time.Minute)
 		}
@@ -105,7 +105,7 @@
 	})
 
 	It("refuses at once what can't be started in time, and says when to come back", func() {
-		b := newBench(1)
+		b := newFixture(1)
 		b.offer("first", "t", config.ClassShort, time.Minute)
 		b.done(config.ClassShort, time.Second)
 		b.offer("running", "t", config.ClassShort, time.Minute)
@@ -116,7 +116,7 @@
 	})
 
 	It("starts the earliest deadline of a tenant first, and none that has passed", func() {
-		b := newBench(1)
+		b := newFixture(1)
 		b.offer("running", "t", config.ClassShort, time.Minute)
 		b.offer("late", "t", config.ClassShort, 50*time.Second)
 		b.offer("early", "t", config.ClassShort, 20*time.Second)
@@ -127,7 +127,7 @@
 	})
 
 	It("refuses those that wait when the target leaves", func() {
-		b := newBench(1)
+		b := newFixture(1)
 		b.offer("running", "t", config.ClassShort, time.Minute)
 		b.offer("waiting", "t", config.ClassShort, time.Minute)
 		b.queue.Drain()
--- a/cmds/apply.go
+++ b/cmds/apply.go
@@ -81,7 +81,7 @@
 			if c.base != 0 {
 				base = config.Version(c.base)
 			}
-			d, err := a.book().Apply(cmd.Context(), history.Change{Document: src.Document, Base: base, Author: c.author,
+			d, err := a.versions().Apply(cmd.Context(), history.Change{Document: src.Document, Base: base, Author: c.author,
 				Message: c.message, ID: c.changeID()})
 			return a.accepted(cmd.Context(), d, err, c)
 		},
@@ -171,7 +171,7 @@
 			if err != nil {
 				return err
 			}
-			d, err := a.book().Rollback(cmd.Context(), v, c.author, c.changeID())
+			d, err := a.versions().Rollback(cmd.Context(), v, c.author, c.changeID())
 			return a.accepted(cmd.Context(), d, err, c)
 		},
 	}
--- a/cmds/fleet.go
+++ b/cmds/fleet.go
@@ -71,7 +71,7 @@
 }
 
 func (a *app) fleetStatus(cmd *cobra.Command) error {
-	h, _, err := a.book().Head(cmd.Context())
+	h, _, err := a.versions().Head(cmd.Context())
 	if err != nil && !errors.Is(err, history.ErrEmpty) {
 		return err
 	}
@@ -171,7 +171,7 @@
 			if err != nil {
 				return err
 			}
-			d, err := a.book().Recover(cmd.Context(), held.Lineage, held.Version, held.Document, c.author, c.changeID())
+			d, err := a.versions().Recover(cmd.Context(), held.Lineage, held.Version, held.Document, c.author, c.changeID())
 			return a.accepted(cmd.Context(), d, err, c)
 		},
 	}
--- a/cmds/inspect.go
+++ b/cmds/inspect.go
@@ -23,7 +23,7 @@
 
 // document returns the head and the document of a version; zero means the accepted one.
 func (a *app) document(cmd *cobra.Command, v config.Version) (history.Head, config.Document, error) {
-	b := a.book()
+	b := a.versions()
 	h, _, err := b.Head(cmd.Context())
 	if err != nil {
 		return h, nil, err
@@ -116,7 +116,7 @@
 		Example: "  cassialead history --output json",
 		Args:    cobra.NoArgs,
 		RunE: func(cmd *cobra.Command, _ []string) error {
-			h, _, err := a.book().Head(cmd.Context())
+			h, _, err := a.versions().Head(cmd.Context())
 			if err != nil {
 				return err
 			}
--- a/cmds/root.go
+++ b/cmds/root.go
@@ -114,7 +114,7 @@
 	return store.New(a.storeURL, http.DefaultTransport, metrics.NewSet())
 }
 
-func (a *app) book() *history.Book { return history.New(a.store(), time.Now, newID) }
+func (a *app) versions() *history.Log { return history.New(a.store(), time.Now, newID) }
 
 func (a *app) operator() *operator.Client { return operator.New(http.DefaultTransport) }
 
--- a/control/core.go
+++ b/control/core.go
@@ -133,8 +133,8 @@
 		c.updateSelf(func(r *fleet.Record) { r.Targets = e.Targets })
 	case Leave:
 		c.leave()
-	case Farewell:
-		c.farewell()
+	case Shutdown:
+		c.shutdown()
 	}
 	c.publish()
 	return c.out
--- a/control/event.go
+++ b/control/event.go
@@ -64,8 +64,8 @@
 // Leave asks the node to take no new work.
 type Leave struct{}
 
-// Farewell tells the fleet that the node ends now.
-type Farewell struct{}
+// Shutdown tells the fleet that the node ends now.
+type Shutdown struct{}
 
 func (Tick) event()           {}
 func (LinkOpened) event()     {}
@@ -77,7 +77,7 @@
 func (ProbeResult) event()    {}
 func (TargetsChanged) event() {}
 func (Leave) event()          {}
-func (Farewell) event()       {}
+func (Shutdown) event()       {}
 
 // Action is what the state machine wants done; the set is sealed.
 type Action interface{ action() }
--- a/control/floor_test.go
+++ b/control/floor_test.go
@@ -12,21 +12,21 @@
 	"github.com/cassialead/cassialead/fleet"
 )
 
-// puppet drives a single state machine by hand.
-type puppet struct {
+// driver drives a single state machine by hand.
+type driver struct {
 	now   time.Time
 	core  *control.Core
 	dials map[fleet.Address]control.LinkID
 }
 
-func newPuppet(seeds ...fleet.Address) *puppet {
-	p := &puppet{now: time.UnixMilli(1_700_000_000_000), dials: map[fleet.Address]control.LinkID{}}
+func newDriver(seeds ...fleet.Address) *driver {
+	p := &driver{now: time.UnixMilli(1_700_000_000_000), dials: map[fleet.Address]control.LinkID{}}
 	self := fleet.Record{Node: "x", DataCentre: "norte", Region: "costa", Incarnation: 5, Sequence: 1, Link: "x:link"}
 	p.core = control.New(control.Settings{Record: self, Seeds: seeds}, p.now, rand.New(rand.NewPCG(1, 1)))
 	return p
 }
 
-func (p *puppet) step(e control.Event) []control.Action {
+func (p *driver) step(e control.Event) []control.Action {
 	p.now = p.now.Add(time.Millisecond)
 	actions := p.core.Step(p.now, e)
 	for _, a := range actions {
@@ -38,7 +38,7 @@
 }
 
 // link opens the link dialled to a node and answers its Hello.
-func (p *puppet) link(r fleet.Record, w control.Welcome) {
+func (p *driver) link(r fleet.Record, w control.Welcome) {
 	GinkgoHelper()
 	id, ok := p.dials[r.Link]
 	Expect(ok).To(BeTrue(), "dialled %s", r.Link)
@@ -58,7 +58,7 @@
 
 var _ = Describe("a restarted node under a parent that lags", func() {
 	It("does not serve the older version that it is offered", func() {
-		p := newPuppet("p:link")
+		p := newDriver("p:link")
 		lagging, ahead := neighbour("p"), neighbour("s")
 		lagging.Lead = 3
 		p.step(control.Tick{})
--- a/control/records.go
+++ b/control/records.go
@@ -117,7 +117,7 @@
 	}
 }
 
-func (c *Core) farewell() {
+func (c *Core) shutdown() {
 	c.updateSelf(func(r *fleet.Record) { r.State = fleet.Gone; r.Lead = 0 })
 	c.flushRecords()
 	c.releaseLease()
--- a/gateway/failure_test.go
+++ b/gateway/failure_test.go
@@ -176,7 +176,7 @@
 		done := make(chan reply, 1)
 		go func() { done <- ingress.call(http.MethodPost, "/orders?order=silent&work=800ms") }()
 		Eventually(func() int { return s.runs("silent") }, patience).Should(Equal(1))
-		beside.wire.hush()
+		beside.wire.silence()
 		var r reply
 		Eventually(done, patience).Should(Receive(&r))
 		Expect(r.status).To(Equal(http.StatusOK), r.body)
@@ -188,7 +188,7 @@
 		s.publish(1)
 		ingress, beside := s.places[0], s.places[1]
 		Expect(ingress.call(http.MethodPost, "/orders?order=warm").status).To(Equal(http.StatusOK))
-		beside.wire.hush()
+		beside.wire.silence()
 		s.publish(1, 2)
 		served := 0
 		for i := range 6 {
@@ -204,7 +204,7 @@
 		}
 		Expect(served).To(BeNumerically(">", 0))
 		// What was held back arrives late and must not run.
-		beside.wire.speak()
+		beside.wire.restore()
 		Expect(ingress.call(http.MethodPost, "/orders?order=after").status).To(Equal(http.StatusOK))
 		Consistently(func() bool {
 			for i := range 6 {
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -59,7 +59,7 @@
 	clocks  clocks
 	peers   *peerTransport
 	inward  *inward
-	keys    *keyring
+	keys    *keyHolder
 	meters  *meters
 
 	draining atomic.Bool
--- a/gateway/keys.go
+++ b/gateway/keys.go
@@ -26,8 +26,8 @@
 	maxKeyBytes  = 8 << 20 // of one message about keys
 	maxKeyLength = 256
 	settleTries  = 3
-	// vouchInterval is the least time between two rounds of asking who can vouch for a service.
-	vouchInterval = time.Second
+	// completeInterval is the least time between two rounds of asking about a service.
+	completeInterval = time.Second
 )
 
 // Claims keeps claims in the platform's store, for services with a single node and for those whose nodes have all
@@ -39,23 +39,24 @@
 	Release(ctx context.Context, name string, c ledger.Claimer) error
 }
 
-// keyring is a node's part in holding idempotency keys.
-type keyring struct {
+// keyHolder is a node's part in holding idempotency keys.
+type keyHolder struct {
 	deps  Deps
 	peers *peerTransport
 
 	mu      sync.Mutex
 	keys    *ledger.Keys
 	members map[config.ServiceName][]*route.Endpoint
-	vouched map[config.ServiceName]bool
-	// asked is when a service's other nodes were last asked to vouch.
+	// complete says that this node knows every key of a service that other nodes remember.
+	complete map[config.ServiceName]bool
+	// asked is when a service's other nodes were last asked for their keys.
 	asked   map[config.ServiceName]time.Time
 	started time.Time
 }
 
-func newKeyring(deps Deps, peers *peerTransport) *keyring {
-	return &keyring{deps: deps, peers: peers, keys: ledger.NewKeys(), started: deps.Now(),
-		members: map[config.ServiceName][]*route.Endpoint{}, vouched: map[config.ServiceName]bool{},
+func newKeyring(deps Deps, peers *peerTransport) *keyHolder {
+	return &keyHolder{deps: deps, peers: peers, keys: ledger.NewKeys(), started: deps.Now(),
+		members: map[config.ServiceName][]*route.Endpoint{}, complete: map[config.ServiceName]bool{},
 		asked: map[config.ServiceName]time.Time{}}
 }
 
@@ -76,10 +77,10 @@
 }
 
 type keyAnswer struct {
-	State   ledger.KeyState   `json:"state"`
-	Result  ledger.Result     `json:"result,omitzero"`
-	Vouched bool              `json:"vouched,omitempty"`
-	Entries []ledger.KeyEntry `json:"entries,omitempty"`
+	State    ledger.KeyState   `json:"state"`
+	Result   ledger.Result     `json:"result,omitzero"`
+	Complete bool              `json:"complete,omitempty"`
+	Entries  []ledger.KeyEntry `json:"entries,omitempty"`
 }
 
 func nodesOf(es []*route.Endpoint) []fleet.NodeID {
@@ -91,7 +92,7 @@
 }
 
 // publish notes who holds keys from now on, what was lost, and hands entries to their new holders.
-func (k *keyring) publish(t *route.Table) {
+func (k *keyHolder) publish(t *route.Table) {
 	if t.Config == nil {
 		return
 	}
@@ -118,7 +119,7 @@
 }
 
 // handOver sends the entries of a service to their holders in the background; the caller holds mu.
-func (k *keyring) handOver(now time.Time, s config.ServiceName, members []*route.Endpoint) {
+func (k *keyHolder) handOver(now time.Time, s config.ServiceName, members []*route.Endpoint) {
 	nodes := nodesOf(members)
 	for _, e := range members {
 		if e.Node == k.deps.Node.Node {
@@ -133,7 +134,7 @@
 	}
 }
 
-func (k *keyring) serve(w http.ResponseWriter, r *http.Request) {
+func (k *keyHolder) serve(w http.ResponseWriter, r *http.Request) {
 	var m keyMessage
 	if err := json.NewDecoder(io.LimitReader(r.Body, maxKeyBytes)).Decode(&m); err != nil {
 		http.Error(w, err.Error(), http.StatusBadRequest)
@@ -142,7 +143,7 @@
 	_ = json.NewEncoder(w).Encode(k.answer(r.Context(), m))
 }
 
-func (k *keyring) answer(ctx context.Context, m keyMessage) keyAnswer {
+func (k *keyHolder) answer(ctx context.Context, m keyMessage) keyAnswer {
 	switch m.Do {
 	case "claim":
 		return k.claim(ctx, m)
@@ -150,7 +151,7 @@
 		k.mu.Lock()
 		defer k.mu.Unlock()
 		state, result := k.keys.Claim(k.deps.Now(), m.ID, m.Service, m.Claimer, m.Within)
-		return keyAnswer{State: state, Result: result, Vouched: k.vouched[m.Service]}
+		return keyAnswer{State: state, Result: result, Complete: k.complete[m.Service]}
 	case "settle", "release":
 		k.settle(ctx, m)
 	case "merge":
@@ -166,34 +167,34 @@
 		if !slices.Contains(nodes, m.Node) {
 			nodes = append(nodes, m.Node)
 		}
-		return keyAnswer{Vouched: k.vouched[m.Service], Entries: k.keys.Entries(k.deps.Now(), m.Service,
+		return keyAnswer{Complete: k.complete[m.Service], Entries: k.keys.Entries(k.deps.Now(), m.Service,
 			func(id ledger.KeyID) bool { return slices.Contains(ledger.Holders(id, nodes), m.Node) })}
 	}
 	return keyAnswer{}
 }
 
 // claim claims a key here and at the other holder; both must agree.
-func (k *keyring) claim(ctx context.Context, m keyMessage) keyAnswer {
-	k.ensureVouched(ctx, m.Service)
+func (k *keyHolder) claim(ctx context.Context, m keyMessage) keyAnswer {
+	k.ensureComplete(ctx, m.Service)
 	k.mu.Lock()
 	members := k.members[m.Service]
 	nodes := nodesOf(members)
 	holders := ledger.Holders(m.ID, nodes)
-	vouches := k.vouched[m.Service] && k.keys.Vouches(k.deps.Now(), m.ID, m.Service, nodes)
+	remembers := k.complete[m.Service] && k.keys.Remembers(k.deps.Now(), m.ID, m.Service, nodes)
 	var state ledger.KeyState
 	var result ledger.Result
 	if slices.Contains(holders, k.deps.Node.Node) {
 		state, result = k.keys.Claim(k.deps.Now(), m.ID, m.Service, m.Claimer, m.Within)
 	} else {
-		state = ledger.KeyUnvouched
+		state = ledger.KeyUnverified
 	}
 	k.mu.Unlock()
 	if state != ledger.KeyGranted {
 		return keyAnswer{State: state, Result: result}
 	}
 	state, result = k.confirm(ctx, m, members, holders)
-	if state == ledger.KeyGranted && !vouches {
-		state = ledger.KeyUnvouched
+	if state == ledger.KeyGranted && !remembers {
+		state = ledger.KeyUnverified
 	}
 	if state != ledger.KeyGranted {
 		k.settle(ctx, keyMessage{Do: "release", ID: m.ID, Service: m.Service, Claimer: m.Claimer})
@@ -203,7 +204,7 @@
 
 // confirm places the claim at the other holder, or in the store where the service has no other node. A holder that
 // can't be reached may know the key, so that nobody else can grant it until the fleet has declared that holder gone.
-func (k *keyring) confirm(ctx context.Context, m keyMessage, members []*route.Endpoint, holders []fleet.NodeID) (ledger.KeyState, ledger.Result) {
+func (k *keyHolder) confirm(ctx context.Context, m keyMessage, members []*route.Endpoint, holders []fleet.NodeID) (ledger.KeyState, ledger.Result) {
 	for _, e := range members {
 		if e.Node == k.deps.Node.Node || !slices.Contains(holders, e.Node) {
 			continue
@@ -212,17 +213,17 @@
 		c.Do = "copy"
 		a, err := k.ask(ctx, e, c)
 		if err != nil {
-			return ledger.KeyUnvouched, ledger.Result{}
+			return ledger.KeyUnverified, ledger.Result{}
 		}
 		return a.State, a.Result
 	}
 	if k.deps.Claims == nil {
-		return ledger.KeyUnvouched, ledger.Result{}
+		return ledger.KeyUnverified, ledger.Result{}
 	}
 	holder, err := k.deps.Claims.Claim(ctx, claimName(m.ID), m.Claimer)
 	switch {
 	case err != nil:
-		return ledger.KeyUnvouched, ledger.Result{}
+		return ledger.KeyUnverified, ledger.Result{}
 	case holder != m.Claimer:
 		return ledger.KeyUnknown, ledger.Result{}
 	}
@@ -232,7 +233,7 @@
 func claimName(id ledger.KeyID) string { return "key/" + string(id) }
 
 // settle notes an outcome here and passes it to the other holder.
-func (k *keyring) settle(ctx context.Context, m keyMessage) {
+func (k *keyHolder) settle(ctx context.Context, m keyMessage) {
 	k.mu.Lock()
 	if m.Do == "release" {
 		k.keys.Release(m.ID, m.Claimer)
@@ -257,13 +258,13 @@
 	}
 }
 
-// ensureVouched makes sure that this node knows every key of a service that others remember, before it grants any.
-// When no other node can vouch, the service's first keys are vouched for by a marker in the store, and otherwise only
-// the retention time after the start does.
-func (k *keyring) ensureVouched(ctx context.Context, s config.ServiceName) {
+// ensureComplete makes sure that this node knows every key of a service that others remember, before it grants any.
+// When no other node is complete, a marker in the store tells a service that never had keys from one whose nodes all
+// started anew; the latter grants none until its old keys would have expired.
+func (k *keyHolder) ensureComplete(ctx context.Context, s config.ServiceName) {
 	k.mu.Lock()
 	members := k.members[s]
-	skip := k.vouched[s] || k.deps.Now().Sub(k.asked[s]) < vouchInterval
+	skip := k.complete[s] || k.deps.Now().Sub(k.asked[s]) < completeInterval
 	if !skip {
 		k.asked[s] = k.deps.Now()
 	}
@@ -271,7 +272,7 @@
 	if skip {
 		return
 	}
-	vouched := k.deps.Now().Sub(k.started) > ledger.KeyRetention
+	complete := k.deps.Now().Sub(k.started) > ledger.KeyRetention
 	for _, e := range members {
 		if e.Node == k.deps.Node.Node {
 			continue
@@ -280,24 +281,24 @@
 		if err != nil {
 			continue
 		}
-		vouched = vouched || a.Vouched
+		complete = complete || a.Complete
 		k.mu.Lock()
 		for _, entry := range a.Entries {
 			k.keys.Merge(k.deps.Now(), entry)
 		}
 		k.mu.Unlock()
 	}
-	if !vouched && k.deps.Claims != nil {
+	if !complete && k.deps.Claims != nil {
 		mine := ledger.Claimer(string(k.deps.Node.Node) + "-" + strconv.FormatUint(uint64(k.deps.Node.Incarnation), 10))
 		first, err := k.deps.Claims.Claim(ctx, "service/"+string(s), mine)
-		vouched = err == nil && first == mine
+		complete = err == nil && first == mine
 	}
 	k.mu.Lock()
-	k.vouched[s] = vouched
+	k.complete[s] = complete
 	k.mu.Unlock()
 }
 
-func (k *keyring) ask(ctx context.Context, e *route.Endpoint, m keyMessage) (keyAnswer, error) {
+func (k *keyHolder) ask(ctx context.Context, e *route.Endpoint, m keyMessage) (keyAnswer, error) {
 	if e.Node == k.deps.Node.Node {
 		return k.answer(ctx, m), nil
 	}
@@ -341,8 +342,8 @@
 	case ledger.KeyUnknown:
 		return refusalAnswer(Refusal{http.StatusConflict, CauseUnknown, RanUnknown, "whether the call with this key ran is unknown", 0})
 	default:
-		return refusalAnswer(Refusal{http.StatusServiceUnavailable, CauseUnvouched, RanNo,
-			"nobody can vouch now that the key has not been used; this call has not run", vouchInterval})
+		return refusalAnswer(Refusal{http.StatusServiceUnavailable, CauseUnverified, RanNo,
+			"no node can tell now whether the key has been used; this call has not run", completeInterval})
 	}
 	return x.settleKey(x.once(), m, holder)
 }
@@ -357,7 +358,7 @@
 			return a, e
 		}
 	}
-	return keyAnswer{State: ledger.KeyUnvouched}, nil
+	return keyAnswer{State: ledger.KeyUnverified}, nil
 }
 
 // settleKey tells the holders what became of a granted claim, before the caller is answered.
--- a/gateway/keys_test.go
+++ b/gateway/keys_test.go
@@ -79,7 +79,7 @@
 					answered.Add(1)
 					return
 				}
-				Expect(r.cause()).To(SatisfyAny(Equal("key-in-progress"), Equal("key-unvouched")), r.body)
+				Expect(r.cause()).To(SatisfyAny(Equal("key-in-progress"), Equal("key-unverified")), r.body)
 			})
 		}
 		wg.Wait()
@@ -114,7 +114,7 @@
 		s.lose(held...)
 		for _, i := range others {
 			r := s.places[i].order("both")
-			Expect([]any{r.cause(), r.ran()}).To(Equal([]any{"key-unvouched", "no"}), r.body)
+			Expect([]any{r.cause(), r.ran()}).To(Equal([]any{"key-unverified", "no"}), r.body)
 		}
 		Expect(s.runs("both")).To(Equal(1))
 	})
@@ -137,7 +137,7 @@
 			}
 		}
 		r = s.places[others[0]].order(fresh)
-		Expect([]any{r.cause(), r.ran()}).To(Equal([]any{"key-unvouched", "no"}), r.body)
+		Expect([]any{r.cause(), r.ran()}).To(Equal([]any{"key-unverified", "no"}), r.body)
 		Expect(s.runs(fresh)).To(Equal(0))
 	})
 
@@ -174,7 +174,7 @@
 		DeferCleanup(anew.close)
 		anew.publish()
 		r := anew.places[0].order("before")
-		Expect([]any{r.cause(), r.ran()}).To(Equal([]any{"key-unvouched", "no"}), r.body)
+		Expect([]any{r.cause(), r.ran()}).To(Equal([]any{"key-unverified", "no"}), r.body)
 		Expect(runs + anew.runs("before")).To(Equal(1))
 	})
 })
--- a/gateway/refusal.go
+++ b/gateway/refusal.go
@@ -28,7 +28,7 @@
 	CauseFenced     Cause = "fenced"
 	CauseCrossed    Cause = "crossed-answer"
 	CauseInProgress Cause = "key-in-progress"
-	CauseUnvouched  Cause = "key-unvouched"
+	CauseUnverified Cause = "key-unverified"
 )
 
 // Ran says whether the work behind a call was done.
--- a/gateway/site_test.go
+++ b/gateway/site_test.go
@@ -171,15 +171,15 @@
 	}
 }
 
-// hush makes all open connections silent while new ones work.
-func (w *wire) hush() {
+// silence makes all open connections silent while new ones work.
+func (w *wire) silence() {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	w.silent, w.fresh = true, true
 }
 
-// speak passes on what was held back.
-func (w *wire) speak() {
+// restore passes on what was held back.
+func (w *wire) restore() {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	w.silent = false
@@ -257,7 +257,7 @@
 
 func (s *site) close() {
 	for _, p := range s.places {
-		p.wire.speak()
+		p.wire.restore()
 		p.target.Kill()
 		p.caller.CloseClientConnections()
 		p.peers.CloseClientConnections()
--- a/history/book.go
+++ b/history/log.go
@@ -16,16 +16,16 @@
 	"github.com/cassialead/cassialead/store"
 )
 
-// Book reads and extends the accepted versions.
-type Book struct {
+// Log reads and extends the accepted versions.
+type Log struct {
 	store store.Port
 	now   func() time.Time
 	newID func() string
 }
 
-// New returns a Book over a store; newID returns unique names for changes and lineages.
-func New(port store.Port, now func() time.Time, newID func() string) *Book {
-	return &Book{store: port, now: now, newID: newID}
+// New returns a Log over a store; newID returns unique names for changes and lineages.
+func New(port store.Port, now func() time.Time, newID func() string) *Log {
+	return &Log{store: port, now: now, newID: newID}
 }
 
 // ErrEmpty says that no version has been accepted yet.
@@ -70,8 +70,8 @@
 }
 
 // Head returns the accepted head with its store index, or ErrEmpty.
-func (b *Book) Head(ctx context.Context) (Head, store.Index, error) {
-	e, err := b.store.Get(ctx, HeadKey)
+func (l *Log) Head(ctx context.Context) (Head, store.Index, error) {
+	e, err := l.store.Get(ctx, HeadKey)
 	if errors.Is(err, store.ErrAbsent) {
 		return Head{}, 0, ErrEmpty
 	}
@@ -83,7 +83,7 @@
 }
 
 // Document rebuilds the document of a version, or returns ErrTooOld.
-func (b *Book) Document(ctx context.Context, h Head, v config.Version) (config.Document, error) {
+func (l *Log) Document(ctx context.Context, h Head, v config.Version) (config.Document, error) {
 	base := h.Base
 	if base.Version > v {
 		base = h.Previous
@@ -91,7 +91,7 @@
 	if base.Version == 0 || base.Version > v || v > h.Version {
 		return nil, errors.Wrapf(ErrTooOld, "version %d", v)
 	}
-	doc, err := b.readSnapshot(ctx, base)
+	doc, err := l.readSnapshot(ctx, base)
 	if err != nil {
 		return nil, err
 	}
@@ -115,10 +115,10 @@
 // Apply submits a change and returns the delta that was accepted for it. It merges edits that do not overlap, returns
 // a ConflictError for those that do, and resolves lost answers by the change's id; ErrUnknownOutcome remains only
 // while the store can't be read.
-func (b *Book) Apply(ctx context.Context, c Change) (config.Delta, error) {
+func (l *Log) Apply(ctx context.Context, c Change) (config.Delta, error) {
 	var unresolved error
 	for range maxAttempts {
-		h, index, err := b.Head(ctx)
+		h, index, err := l.Head(ctx)
 		if errors.Is(err, ErrEmpty) {
 			h, err = Head{}, nil
 		}
@@ -131,7 +131,7 @@
 		if d, ok := h.Find(c.ID); ok {
 			return d, nil
 		}
-		d, err := b.submit(ctx, c, h, index)
+		d, err := l.submit(ctx, c, h, index)
 		switch {
 		case err == nil:
 			return d, nil
@@ -153,8 +153,8 @@
 	return store.ErrRefused
 }
 
-func (b *Book) submit(ctx context.Context, c Change, h Head, index store.Index) (config.Delta, error) {
-	current, merged, err := b.merge(ctx, c, h)
+func (l *Log) submit(ctx context.Context, c Change, h Head, index store.Index) (config.Delta, error) {
+	current, merged, err := l.merge(ctx, c, h)
 	if err != nil {
 		return config.Delta{}, err
 	}
@@ -163,15 +163,15 @@
 	}
 	d := config.Diff(current, merged)
 	d.From, d.To = h.Version, h.Version+1
-	d.Change, d.Author, d.Message, d.At = c.ID, c.Author, c.Message, b.now().UnixMilli()
+	d.Change, d.Author, d.Message, d.At = c.ID, c.Author, c.Message, l.now().UnixMilli()
 	next := h.next(d)
 	if next.Lineage == "" {
-		next.Lineage = config.Lineage(b.newID())
+		next.Lineage = config.Lineage(l.newID())
 	}
 	stale := Snapshot{}
 	if next.needsBase() {
 		stale = next.Previous
-		if next, err = b.rebase(ctx, next, merged); err != nil {
+		if next, err = l.rebase(ctx, next, merged); err != nil {
 			return config.Delta{}, err
 		}
 	}
@@ -179,28 +179,28 @@
 	if err != nil {
 		return config.Delta{}, errors.Wrap(err, "head")
 	}
-	if err := b.store.Swap(ctx, HeadKey, value, index); err != nil {
+	if err := l.store.Swap(ctx, HeadKey, value, index); err != nil {
 		return config.Delta{}, err
 	}
-	b.deleteSnapshot(ctx, stale)
+	l.deleteSnapshot(ctx, stale)
 	return d, nil
 }
 
 // merge returns the head's document and the one that the change makes of it.
-func (b *Book) merge(ctx context.Context, c Change, h Head) (current, merged config.Document, err error) {
+func (l *Log) merge(ctx context.Context, c Change, h Head) (current, merged config.Document, err error) {
 	if h.Version == 0 {
 		return config.Document{}, c.Document, nil
 	}
 	if c.Base == 0 {
 		return nil, nil, errors.Wrapf(ErrBaseRequired, "the accepted version is %d", h.Version)
 	}
-	if current, err = b.Document(ctx, h, h.Version); err != nil {
+	if current, err = l.Document(ctx, h, h.Version); err != nil {
 		return nil, nil, err
 	}
 	if c.Base == h.Version {
 		return current, c.Document, nil
 	}
-	base, err := b.Document(ctx, h, c.Base)
+	base, err := l.Document(ctx, h, c.Base)
 	if err != nil {
 		return nil, nil, err
 	}
@@ -212,8 +212,8 @@
 	return current, merged, nil
 }
 
-func (b *Book) rebase(ctx context.Context, h Head, doc config.Document) (Head, error) {
-	s, err := b.writeSnapshot(ctx, Snapshot{Version: h.Version, Name: config.ChangeID(b.newID()), Digest: h.Digest}, doc)
+func (l *Log) rebase(ctx context.Context, h Head, doc config.Document) (Head, error) {
+	s, err := l.writeSnapshot(ctx, Snapshot{Version: h.Version, Name: config.ChangeID(l.newID()), Digest: h.Digest}, doc)
 	if err != nil {
 		return Head{}, err
 	}
@@ -225,7 +225,7 @@
 	return store.Key(fmt.Sprintf("%s%d-%s/%d", snapshotPrefix, s.Version, s.Name, chunk))
 }
 
-func (b *Book) writeSnapshot(ctx context.Context, s Snapshot, doc config.Document) (Snapshot, error) {
+func (l *Log) writeSnapshot(ctx context.Context, s Snapshot, doc config.Document) (Snapshot, error) {
 	data, err := json.Marshal(doc)
 	if err != nil {
 		return s, errors.Wrap(err, "snapshot")
@@ -237,7 +237,7 @@
 	packed := enc.EncodeAll(data, nil)
 	for len(packed) > 0 {
 		n := min(len(packed), maxChunkBytes)
-		if err := b.store.Swap(ctx, s.key(s.Chunks), packed[:n], 0); err != nil {
+		if err := l.store.Swap(ctx, s.key(s.Chunks), packed[:n], 0); err != nil {
 			return s, errors.Wrap(err, "snapshot chunk")
 		}
 		packed = packed[n:]
@@ -246,10 +246,10 @@
 	return s, nil
 }
 
-func (b *Book) readSnapshot(ctx context.Context, s Snapshot) (config.Document, error) {
+func (l *Log) readSnapshot(ctx context.Context, s Snapshot) (config.Document, error) {
 	var packed bytes.Buffer
 	for i := range s.Chunks {
-		e, err := b.store.Get(ctx, s.key(i))
+		e, err := l.store.Get(ctx, s.key(i))
 		if err != nil {
 			return nil, errors.Wrap(err, "snapshot chunk")
 		}
@@ -275,25 +275,25 @@
 }
 
 // deleteSnapshot removes a snapshot that no head names any more; what is left behind by a failure does no harm.
-func (b *Book) deleteSnapshot(ctx context.Context, s Snapshot) {
+func (l *Log) deleteSnapshot(ctx context.Context, s Snapshot) {
 	for i := range s.Chunks {
-		if err := b.store.Delete(ctx, s.key(i)); err != nil {
+		if err := l.store.Delete(ctx, s.key(i)); err != nil {
 			return
 		}
 	}
 }
 
 // Rollback submits the content of an older version as a new one.
-func (b *Book) Rollback(ctx context.Context, to config.Version, author string, id config.ChangeID) (config.Delta, error) {
-	h, _, err := b.Head(ctx)
+func (l *Log) Rollback(ctx context.Context, to config.Version, author string, id config.ChangeID) (config.Delta, error) {
+	h, _, err := l.Head(ctx)
 	if err != nil {
 		return config.Delta{}, err
 	}
-	doc, err := b.Document(ctx, h, to)
+	doc, err := l.Document(ctx, h, to)
 	if err != nil {
 		return config.Delta{}, err
 	}
-	return b.Apply(ctx, Change{Document: doc, Base: h.Version, Author: author, ID: id,
+	return l.Apply(ctx, Change{Document: doc, Base: h.Version, Author: author, ID: id,
 		Message: fmt.Sprintf("roll back to version %d", to)})
 }
 
@@ -302,19 +302,19 @@
 
 // Recover makes a document that is in force on the nodes the accepted one again, after the store was put back from an
 // old copy; it returns ErrNotBehind when the store holds that version or a later one.
-func (b *Book) Recover(ctx context.Context, lineage config.Lineage, v config.Version, doc config.Document, author string,
+func (l *Log) Recover(ctx context.Context, lineage config.Lineage, v config.Version, doc config.Document, author string,
 	id config.ChangeID) (config.Delta, error) {
-	h, index, err := b.Head(ctx)
+	h, index, err := l.Head(ctx)
 	if err != nil && !errors.Is(err, ErrEmpty) {
 		return config.Delta{}, err
 	}
 	if h.Lineage == lineage && h.Version >= v {
 		return config.Delta{}, errors.Wrapf(ErrNotBehind, "store at version %d, node at %d", h.Version, v)
 	}
-	d := config.Delta{From: v - 1, To: v, Digest: doc.Digest(), Change: id, Author: author, At: b.now().UnixMilli(),
+	d := config.Delta{From: v - 1, To: v, Digest: doc.Digest(), Change: id, Author: author, At: l.now().UnixMilli(),
 		Message: "recovered from a node"}
 	// The ring starts anew: the deltas between the old copy and this version are lost.
-	next, err := b.rebase(ctx, Head{Lineage: lineage, Version: v, Digest: d.Digest}, doc)
+	next, err := l.rebase(ctx, Head{Lineage: lineage, Version: v, Digest: d.Digest}, doc)
 	if err != nil {
 		return config.Delta{}, err
 	}
@@ -322,5 +322,5 @@
 	if err != nil {
 		return config.Delta{}, errors.Wrap(err, "head")
 	}
-	return d, b.store.Swap(ctx, HeadKey, value, index)
+	return d, l.store.Swap(ctx, HeadKey, value, index)
 }
--- a/history/book_test.go
+++ b/history/log_test.go
@@ -25,21 +25,21 @@
 	RunSpecs(t, "history")
 }
 
-// desk is an operator's place at a stand-in store.
-type desk struct {
+// fixture is an operator's place at a stand-in store.
+type fixture struct {
 	store *standin.Store
 	port  *store.Client
-	book  *history.Book
+	log   *history.Log
 	ids   int
 	mu    sync.Mutex
 }
 
-func newDesk() *desk {
-	d := &desk{store: standin.NewStore(100_000, 100_000)}
+func newFixture() *fixture {
+	d := &fixture{store: standin.NewStore(100_000, 100_000)}
 	server := httptest.NewServer(d.store.Handler())
 	DeferCleanup(server.Close)
 	d.port = store.New(server.URL, &http.Transport{DisableKeepAlives: true}, metrics.NewSet())
-	d.book = history.New(d.port, func() time.Time { return time.Unix(1_700_000_000, 0) }, func() string {
+	d.log = history.New(d.port, func() time.Time { return time.Unix(1_700_000_000, 0) }, func() string {
 		d.mu.Lock()
 		defer d.mu.Unlock()
 		d.ids++
@@ -56,26 +56,26 @@
 	return doc
 }
 
-func (d *desk) apply(doc config.Document, base config.Version, id string) (config.Delta, error) {
-	return d.book.Apply(context.Background(), history.Change{Document: doc, Base: base, Author: "op-" + id, Message: "m-" + id,
+func (d *fixture) apply(doc config.Document, base config.Version, id string) (config.Delta, error) {
+	return d.log.Apply(context.Background(), history.Change{Document: doc, Base: base, Author: "op-" + id, Message: "m-" + id,
 		ID: config.ChangeID(id)})
 }
 
-func (d *desk) head() history.Head {
-	h, _, err := d.book.Head(context.Background())
+func (d *fixture) head() history.Head {
+	h, _, err := d.log.Head(context.Background())
 	ExpectWithOffset(1, err).NotTo(HaveOccurred())
 	return h
 }
 
-func (d *desk) document(v config.Version) config.Document {
-	doc, err := d.book.Document(context.Background(), d.head(), v)
+func (d *fixture) document(v config.Version) config.Document {
+	doc, err := d.log.Document(context.Background(), d.head(), v)
 	ExpectWithOffset(1, err).NotTo(HaveOccurred())
 	return doc
 }
 
 var _ = Describe("accepted versions", func() {
 	It("are dense, and rebuilt over many snapshots", func() {
-		d := newDesk()
+		d := newFixture()
 		for i := range 150 {
 			delta, err := d.apply(document(fmt.Sprintf("%dms", i+1)), config.Version(i), fmt.Sprintf("c%d", i))
 			Expect(err).NotTo(HaveOccurred())
@@ -84,12 +84,12 @@
 		for _, v := range []config.Version{150, 149, 130, 120} {
 			Expect(d.document(v)).To(Equal(document(fmt.Sprintf("%dms", v))), "version %d", v)
 		}
-		_, err := d.book.Document(context.Background(), d.head(), 3)
+		_, err := d.log.Document(context.Background(), d.head(), 3)
 		Expect(err).To(MatchError(history.ErrTooOld))
 	})
 
 	It("take disjoint edits of racing operators both", func() {
-		d := newDesk()
+		d := newFixture()
 		_, err := d.apply(document("1s", "1s"), 0, "first")
 		Expect(err).NotTo(HaveOccurred())
 		_, err = d.apply(document("2s", "1s"), 1, "ana")
@@ -100,7 +100,7 @@
 	})
 
 	It("refuse overlapping edits and name both sides", func() {
-		d := newDesk()
+		d := newFixture()
 		_, err := d.apply(document("1s"), 0, "first")
 		Expect(err).NotTo(HaveOccurred())
 		_, err = d.apply(document("2s"), 1, "ana")
@@ -113,7 +113,7 @@
 	})
 
 	It("lose no edit when twenty operators race", func() {
-		d := newDesk()
+		d := newFixture()
 		all := make([]string, 20)
 		for i := range all {
 			all[i] = "1s"
@@ -147,7 +147,7 @@
 	})
 
 	It("hold a change once when the store's answer is lost after the write took effect", func() {
-		d := newDesk()
+		d := newFixture()
 		_, err := d.apply(document("1s"), 0, "first")
 		Expect(err).NotTo(HaveOccurred())
 		d.store.SetFaults(standin.StoreFaults{LoseAnswers: 1})
@@ -161,7 +161,7 @@
 	})
 
 	It("are not touched when a document is bad, large or without a base", func() {
-		d := newDesk()
+		d := newFixture()
 		_, err := d.apply(document("1s"), 0, "first")
 		Expect(err).NotTo(HaveOccurred())
 		_, err = d.apply(config.Document{"route r": {"path": "/r", "service": "absent"}}, 1, "bad")
@@ -172,7 +172,7 @@
 	})
 
 	It("come back from a node after the store was put back from an old copy", func() {
-		d := newDesk()
+		d := newFixture()
 		_, err := d.apply(document("1s"), 0, "first")
 		Expect(err).NotTo(HaveOccurred())
 		old := d.store.Dump()
@@ -180,9 +180,9 @@
 		Expect(err).NotTo(HaveOccurred())
 		lineage := d.head().Lineage
 		Expect(d.store.Restore(old)).To(Succeed())
-		_, err = d.book.Recover(context.Background(), lineage, 1, document("1s"), "op", "r1")
+		_, err = d.log.Recover(context.Background(), lineage, 1, document("1s"), "op", "r1")
 		Expect(err).To(MatchError(history.ErrNotBehind))
-		_, err = d.book.Recover(context.Background(), lineage, 2, document("2s"), "op", "r2")
+		_, err = d.log.Recover(context.Background(), lineage, 2, document("2s"), "op", "r2")
 		Expect(err).NotTo(HaveOccurred())
 		Expect(d.document(2)).To(Equal(document("2s")))
 		delta, err := d.apply(document("3s"), 2, "third")
@@ -202,7 +202,7 @@
 	}
 	for name, c := range cases {
 		It("tells "+name+" from an absent key", func() {
-			d := newDesk()
+			d := newFixture()
 			_, err := d.port.Get(context.Background(), "absent")
 			Expect(err).To(MatchError(store.ErrAbsent))
 			d.store.SetFaults(c.faults)
@@ -214,7 +214,7 @@
 	}
 
 	It("wakes a watch when the key changes, and lets a lease lapse", func() {
-		d := newDesk()
+		d := newFixture()
 		ctx := context.Background()
 		lease, err := d.port.Grant(ctx, 200*time.Millisecond)
 		Expect(err).NotTo(HaveOccurred())
--- a/ledger/key.go
+++ b/ledger/key.go
@@ -27,7 +27,7 @@
 	KeyInProgress KeyState = "in-progress"
 	KeyDone       KeyState = "done"
 	KeyUnknown    KeyState = "unknown"
-	KeyUnvouched  KeyState = "unvouched"
+	KeyUnverified KeyState = "unverified"
 )
 
 const (
@@ -99,7 +99,7 @@
 	e := k.entries[id]
 	if e == nil {
 		if len(k.entries) >= maxKeys {
-			return KeyUnvouched, Result{}
+			return KeyUnverified, Result{}
 		}
 		k.entries[id] = &KeyEntry{ID: id, Service: s, Claimer: c, State: KeyInProgress, claimed: now, until: now.Add(within + claimOverhead)}
 		return KeyGranted, Result{}
@@ -178,9 +178,9 @@
 	k.losses[s] = append(recent, loss{n, now})
 }
 
-// Vouches reports whether a key that is not known here was never claimed: not if both of its holders may have been
+// Remembers reports whether a key that is not known here was never claimed: not if both of its holders may have been
 // lost together.
-func (k *Keys) Vouches(now time.Time, id KeyID, s config.ServiceName, nodes []fleet.NodeID) bool {
+func (k *Keys) Remembers(now time.Time, id KeyID, s config.ServiceName, nodes []fleet.NodeID) bool {
 	k.lost[s] = slices.DeleteFunc(k.lost[s], func(p lostPair) bool { return now.After(p.until) })
 	for _, p := range k.lost[s] {
 		all := slices.Clone(nodes)
--- a/node/act.go
+++ b/node/act.go
@@ -180,7 +180,7 @@
 			return o, nil
 		}
 	}
-	doc, err := n.book.Document(ctx, head, head.Version)
+	doc, err := n.versions.Document(ctx, head, head.Version)
 	o.Document = doc
 	return o, err
 }
--- a/node/node.go
+++ b/node/node.go
@@ -28,7 +28,7 @@
 	eventQueue    = 1024
 	publishDelay  = 20 * time.Millisecond // changes of records are gathered before a new table is built
 	headerTimeout = 5 * time.Second
-	farewellWait  = 200 * time.Millisecond // lets the last records leave before the links close
+	shutdownWait  = 200 * time.Millisecond // lets the last records leave before the links close
 )
 
 // Deps are what a node needs from its surroundings.
@@ -44,12 +44,12 @@
 
 // Node is one running node.
 type Node struct {
-	cfg     settings.Node
-	deps    Deps
-	traffic *link.Traffic
-	gateway *gateway.Gateway
-	book    *history.Book
-	targets *targets
+	cfg      settings.Node
+	deps     Deps
+	traffic  *link.Traffic
+	gateway  *gateway.Gateway
+	versions *history.Log
+	targets  *targets
 
 	events chan any
 	mu     sync.Mutex // guards links
@@ -83,7 +83,7 @@
 		killed: make(chan struct{})}
 	n.events = make(chan any, eventQueue)
 	n.traffic = link.NewTraffic(deps.Metrics)
-	n.book = history.New(deps.Store, deps.Now, func() string { return "" })
+	n.versions = history.New(deps.Store, deps.Now, func() string { return "" })
 	n.targets = newTargets(deps.Now, func(ts []fleet.Target) { n.post(control.TargetsChanged{Targets: ts}) })
 	return n, n.listen()
 }
@@ -146,7 +146,7 @@
 // Traffic returns the byte counts of the node's links.
 func (n *Node) Traffic() *link.Traffic { return n.traffic }
 
-// Run feeds events to the state machine until ctx ends; then it drains and says farewell.
+// Run feeds events to the state machine until ctx ends; then it drains and says that it ends.
 func (n *Node) Run(ctx context.Context) error {
 	loop, cancel := context.WithCancel(context.WithoutCancel(ctx))
 	defer cancel()
@@ -198,8 +198,8 @@
 	}
 	n.gateway.Drain(wait)
 	_ = n.callServer.Shutdown(wait)
-	n.post(control.Farewell{})
-	time.Sleep(farewellWait)
+	n.post(control.Shutdown{})
+	time.Sleep(shutdownWait)
 	stop()
 }
 
--- a/route/route_test.go
+++ b/route/route_test.go
@@ -19,8 +19,8 @@
 	RunSpecs(t, "route")
 }
 
-// yard is a table of one service with targets in virtual time.
-type yard struct {
+// fixture is a table of one service with targets in virtual time.
+type fixture struct {
 	now   time.Time
 	rng   *rand.Rand
 	board *route.Board
@@ -28,8 +28,8 @@
 	slow  map[fleet.NodeID]time.Duration
 }
 
-func newYard(targets map[fleet.DataCentre]int) *yard {
-	y := &yard{now: time.Unix(1000, 0), rng: rand.New(rand.NewPCG(1, 1)), slow: map[fleet.NodeID]time.Duration{}}
+func newFixture(targets map[fleet.DataCentre]int) *fixture {
+	y := &fixture{now: time.Unix(1000, 0), rng: rand.New(rand.NewPCG(1, 1)), slow: map[fleet.NodeID]time.Duration{}}
 	doc := config.Document{"service a": {}, "route a": {"path": "/a", "service": "a"}}
 	cfg, err := config.Compile("test", doc)
 	Expect(err).NotTo(HaveOccurred())
@@ -51,14 +51,14 @@
 }
 
 // pick chooses a target for a short call.
-func (y *yard) pick() route.Lease {
+func (y *fixture) pick() route.Lease {
 	l, err := y.table.Pick(route.Query{Service: "a", Reach: config.SpillAnywhere, Class: config.ClassShort, Repeatable: true}, y.now, y.rng)
 	Expect(err).NotTo(HaveOccurred())
 	return l
 }
 
 // run makes n calls one after the other and counts them by target.
-func (y *yard) run(n int, outcome func(fleet.NodeID) route.Outcome) map[fleet.NodeID]int {
+func (y *fixture) run(n int, outcome func(fleet.NodeID) route.Outcome) map[fleet.NodeID]int {
 	counts := map[fleet.NodeID]int{}
 	for range n {
 		l := y.pick()
@@ -74,7 +74,7 @@
 
 var _ = Describe("the choice of a target", func() {
 	It("stays in the data centre while there is room, spills when there is none, and returns", func() {
-		y := newYard(map[fleet.DataCentre]int{"here": 2, "near": 2, "far": 2})
+		y := newFixture(map[fleet.DataCentre]int{"here": 2, "near": 2, "far": 2})
 		y.slow["here-0"], y.slow["here-1"] = 20*time.Millisecond, 20*time.Millisecond
 		y.run(50, answered)
 		var held []route.Lease
@@ -96,7 +96,7 @@
 	})
 
 	It("spills to another region within the budget of bytes, and without one only where no target is nearer", func() {
-		y := newYard(map[fleet.DataCentre]int{"here": 1, "far": 2})
+		y := newFixture(map[fleet.DataCentre]int{"here": 1, "far": 2})
 		y.slow["here-0"] = 200 * time.Millisecond
 		y.run(20, answered)
 		var held []route.Lease
@@ -114,13 +114,13 @@
 		Expect(far(10)).To(BeNumerically(">", 0))
 		y.table.Spill().Spend(10_000_000)
 		Expect(far(10)).To(Equal(0))
-		only := newYard(map[fleet.DataCentre]int{"far": 2})
+		only := newFixture(map[fleet.DataCentre]int{"far": 2})
 		only.table.Spill().Spend(10_000_000)
 		Expect(only.pick().Endpoint.Distance).To(Equal(route.OtherRegion))
 	})
 
 	It("sends few calls to a straggler, and its share comes back when it recovers", func() {
-		y := newYard(map[fleet.DataCentre]int{"here": 5})
+		y := newFixture(map[fleet.DataCentre]int{"here": 5})
 		y.run(200, answered)
 		y.slow["here-0"] = 40 * time.Millisecond
 		Expect(y.run(500, answered)["here-0"]).To(BeNumerically("<", 15))
@@ -132,7 +132,7 @@
 	})
 
 	It("takes a failing target out, but never more than a third of the slow ones", func() {
-		y := newYard(map[fleet.DataCentre]int{"here": 5})
+		y := newFixture(map[fleet.DataCentre]int{"here": 5})
 		failing := func(n fleet.NodeID) route.Outcome {
 			if n == "here-1" {
 				return route.Failed
@@ -147,7 +147,7 @@
 	})
 
 	It("does not name a service or target that it does not hold", func() {
-		y := newYard(map[fleet.DataCentre]int{})
+		y := newFixture(map[fleet.DataCentre]int{})
 		_, err := y.table.Pick(route.Query{Service: "a", Reach: config.SpillAnywhere}, y.now, y.rng)
 		Expect(err).To(MatchError(route.ErrNoTarget))
 		_, err = y.table.Pick(route.Query{Service: "absent", Reach: config.SpillAnywhere}, y.now, y.rng)
--- a/trial/fleet.go
+++ b/trial/fleet.go
@@ -107,7 +107,7 @@
 type Fleet struct {
 	Store    *standin.Store
 	StoreURL string
-	Book     *history.Book
+	Versions *history.Log
 	Port     store.Port
 	VMs      []*VM
 
@@ -147,7 +147,7 @@
 	go func() { _ = f.server.Serve(listener) }()
 	f.Port = store.New(f.StoreURL, f.transport, metrics.NewSet())
 	ids := 0
-	f.Book = history.New(f.Port, time.Now, func() string {
+	f.Versions = history.New(f.Port, time.Now, func() string {
 		ids++
 		return fmt.Sprintf("trial-%d-%d", seed, ids)
 	})
@@ -271,11 +271,11 @@
 
 // Apply submits a document as the next version.
 func (f *Fleet) Apply(ctx context.Context, doc config.Document, id string) (config.Version, error) {
-	h, _, err := f.Book.Head(ctx)
+	h, _, err := f.Versions.Head(ctx)
 	if err != nil && !errors.Is(err, history.ErrEmpty) {
 		return 0, err
 	}
-	d, err := f.Book.Apply(ctx, history.Change{Document: doc, Base: h.Version, Author: "trial", ID: config.ChangeID(id)})
+	d, err := f.Versions.Apply(ctx, history.Change{Document: doc, Base: h.Version, Author: "trial", ID: config.ChangeID(id)})
 	return d.To, err
 }
 
