--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -82,12 +82,17 @@
 
 // meterSpill counts a call's bytes against the budget of the link between regions.
 func (x *exchange) meterSpill(req *http.Request, resp *http.Response) {
-	spend := func(n int) {
+	// An answer of known length is settled at once; the bytes of a stream are spent as they come.
+	known := int(max(req.ContentLength, 0)+max(resp.ContentLength, 0)) + spillOverhead
+	x.table.Spill().Settle(known)
+	x.g.meters.regionBytes.Add(known)
+	if resp.ContentLength >= 0 {
+		return
+	}
+	resp.Body = &meteredBody{resp.Body, func(n int) {
 		x.table.Spill().Spend(n)
 		x.g.meters.regionBytes.Add(n)
-	}
-	spend(int(max(req.ContentLength, 0)) + spillOverhead)
-	resp.Body = &meteredBody{resp.Body, spend}
+	}}
 }
 
 const spillOverhead = 1000 // bytes of both headers
--- a/gateway/site_test.go
+++ b/gateway/site_test.go
@@ -136,7 +136,10 @@
 		if err != nil {
 			return
 		}
-		out, err := net.Dial("tcp", w.to)
+		w.mu.Lock()
+		to := w.to
+		w.mu.Unlock()
+		out, err := net.Dial("tcp", to)
 		if err != nil {
 			_ = c.Close()
 			continue
--- a/route/table.go
+++ b/route/table.go
@@ -185,6 +185,9 @@
 			continue
 		}
 		if probe {
+			if d == OtherRegion {
+				t.spill.reserve()
+			}
 			return take(e, q.Class, now, true), nil
 		}
 		cost += linkCost[d].Seconds()
@@ -198,6 +201,9 @@
 	if best == nil {
 		return Lease{}, errors.Wrapf(ErrNoTarget, "service %q", q.Service)
 	}
+	if best.Distance == OtherRegion {
+		t.spill.reserve()
+	}
 	return take(best, q.Class, now, false), nil
 }
 
