gateway: send an order elsewhere at once when its node takes no connections

Cause: after a VM died, an order for it waited until its deadline and was then answered 'unknown', although the dial had failed and nothing was sent. Ruled out: the fence; it can't be asked of a dead node. A failed dial now proves that the order has not run. So that the proof holds, orders without a body are sent in a form that the HTTP library does not send again on its own. An ending node now also waits for its answers to other nodes before their connections close.

--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -54,9 +54,6 @@
 		URL:    &url.URL{Scheme: "http", Host: string(e.Address), Path: x.req.URL.Path, RawPath: x.req.URL.RawPath, RawQuery: x.req.URL.RawQuery},
 		Header: x.req.Header.Clone(), Proto: "HTTP/1.1", ProtoMajor: 1, ProtoMinor: 1,
 	}
-	if body == http.NoBody {
-		out.ContentLength = 0
-	}
 	removeHopHeaders(out.Header)
 	removeOwnHeaders(out.Header)
 	c.write(out.Header, x.g.deps.Now())
--- a/gateway/failure_test.go
+++ b/gateway/failure_test.go
@@ -168,6 +168,21 @@
 		}
 	})
 
+	It("go to another node at once when the one they were meant for has died", func() {
+		s := newSite(3, 0)
+		for i := range 6 {
+			Expect(s.places[0].call(http.MethodPost, fmt.Sprintf("/orders?order=before-%d", i)).status).To(Equal(http.StatusOK))
+		}
+		_ = s.places[1].wire.listener.Close()
+		s.places[1].wire.cut()
+		for i := range 6 {
+			name := fmt.Sprintf("after-%d", i)
+			r := s.places[0].call(http.MethodPost, "/orders?order="+name)
+			Expect(r.status).To(Equal(http.StatusOK), r.body)
+			Expect(s.runs(name)).To(Equal(1))
+		}
+	})
+
 	It("return their answer over a new connection when the first one goes silent during the run", func() {
 		s := newSite(2, 0)
 		s.publish(1)
--- a/gateway/ingress.go
+++ b/gateway/ingress.go
@@ -207,6 +207,9 @@
 
 // isDialError reports whether an attempt failed before anything was sent.
 func isDialError(err error) bool {
+	if err == nil {
+		return false
+	}
 	var op *net.OpError
 	return errors.As(err, &op) && op.Op == "dial"
 }
--- a/gateway/order.go
+++ b/gateway/order.go
@@ -8,6 +8,7 @@
 	"net/http"
 	"net/http/httptrace"
 	"net/textproto"
+	"strings"
 	"sync/atomic"
 	"time"
 
@@ -90,6 +91,10 @@
 		return proven{notRun(http.StatusServiceUnavailable, CauseNoTarget,
 			"the request's body can't be sent again; the call has not run").response()}
 	}
+	if body == http.NoBody {
+		// HTTP libraries send a request without a body again on their own when it carries an idempotency key.
+		body = io.NopCloser(strings.NewReader(""))
+	}
 	o := &order{x: x, endpoint: e, call: c, ctx: ctx}
 	if e.Node == x.g.deps.Node.Node {
 		return judge(x.g.inward.doOnce(x.ctx, c, x.outgoing(ctx, e, c, body), func() {}))
@@ -177,6 +182,10 @@
 	for {
 		select {
 		case r := <-results:
+			if isDialError(r.err) {
+				return proven{notRun(http.StatusServiceUnavailable, CauseNoTarget,
+					"the target's node takes no connections; the call has not run").response()}
+			}
 			if r.err != nil {
 				return o.resolve()
 			}
--- a/gateway/site_test.go
+++ b/gateway/site_test.go
@@ -118,7 +118,7 @@
 	silent   bool       // open connections pass nothing on in either direction
 	resume   *sync.Cond // signalled when silent is cleared
 	fresh    bool       // connections opened from now on work in spite of silent
-	conns    int
+	open     []net.Conn
 }
 
 func newWire(to string) *wire {
@@ -145,7 +145,7 @@
 			continue
 		}
 		w.mu.Lock()
-		w.conns++
+		w.open = append(w.open, c, out)
 		exempt := w.silent && w.fresh
 		w.mu.Unlock()
 		go w.relay(c, out, exempt)
@@ -174,6 +174,15 @@
 	}
 }
 
+// cut closes all connections, as the death of a node does.
+func (w *wire) cut() {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	for _, c := range w.open {
+		_ = c.Close()
+	}
+}
+
 // silence makes all open connections silent while new ones work.
 func (w *wire) silence() {
 	w.mu.Lock()
--- a/node/node.go
+++ b/node/node.go
@@ -199,7 +199,10 @@
 	n.gateway.Drain(wait)
 	_ = n.callServer.Shutdown(wait)
 	n.post(control.Shutdown{})
-	time.Sleep(shutdownWait)
+	last, cancel := context.WithTimeout(context.Background(), shutdownWait)
+	defer cancel()
+	_ = n.linkServer.Shutdown(last) // answers to other nodes leave before their connections close
+	<-last.Done()
 	stop()
 }
 
--- a/settings/node_test.go
+++ b/settings/node_test.go
@@ -1,6 +1,7 @@
 package settings_test
 
 import (
+	"path/filepath"
 	"testing"
 
 	"github.com/cockroachdb/errors"
@@ -8,6 +9,7 @@
 	. "github.com/onsi/gomega"
 
 	"github.com/cassialead/cassialead/config"
+	"github.com/cassialead/cassialead/fleet"
 	"github.com/cassialead/cassialead/settings"
 )
 
@@ -35,6 +37,21 @@
 		Expect(string(n.Link)).To(Equal("127.0.0.1:2"))
 	})
 
+	It("are valid in every example, with addresses of their own", func() {
+		files, err := filepath.Glob(filepath.Join("..", "examples", "node-*.ini"))
+		Expect(err).NotTo(HaveOccurred())
+		Expect(files).To(HaveLen(8))
+		seen := map[fleet.Address]string{}
+		for _, file := range files {
+			n, err := settings.LoadNode(file)
+			Expect(err).NotTo(HaveOccurred())
+			for _, a := range []fleet.Address{n.Call, n.Link, n.Local} {
+				Expect(seen).NotTo(HaveKey(a), file)
+				seen[a] = file
+			}
+		}
+	})
+
 	cases := map[string]struct{ add, want string }{
 		"an unknown key":        {"colour = red\n", `node.ini: section [store]: key "colour": unknown key`},
 		"an unknown section":    {"[cluster]\n", "node.ini: section [cluster]: unknown section"},
