--- a/control/failure_test.go
+++ b/control/failure_test.go
@@ -112,6 +112,25 @@
 			Expect(w.lead("norte")).NotTo(BeIdenticalTo(lead))
 			reaches(w, 2, nil)
 		},
+		"the store takes two seconds for each answer": func(w *world) {
+			w.store.slow = 2 * time.Second
+			reaches(w, 1, nil)
+			w.kill(w.lead("sur").record.Node, true)
+			w.run(20 * time.Second)
+			reaches(w, 2, nil)
+		},
+		"a region's leads die while the regions are parted and the store is out": func(w *world) {
+			w.outage(true)
+			w.part(in("arauca", "casanare"))
+			for _, dc := range []fleet.DataCentre{"arauca", "casanare"} {
+				w.kill(w.lead(dc).record.Node, true)
+			}
+			w.run(15 * time.Second)
+			w.heal()
+			w.outage(false)
+			w.run(15 * time.Second)
+			reaches(w, 1, nil)
+		},
 		"regions part, change on one side, and heal": func(w *world) {
 			w.part(in("arauca", "casanare"))
 			storeSide := not(in("arauca", "casanare"))
--- a/control/world_test.go
+++ b/control/world_test.go
@@ -77,6 +77,7 @@
 // fakeStore keeps the accepted versions and the leases.
 type fakeStore struct {
 	down     bool
+	slow     time.Duration // added to every answer
 	lineage  config.Lineage
 	versions []config.Document // by version, from 1
 	deltas   []config.Delta
@@ -327,7 +328,7 @@
 	}
 	core := m.core
 	answer := func(e control.Event) {
-		w.later(storeLatency, func() {
+		w.later(storeLatency+w.store.slow, func() {
 			if m.alive && m.core == core {
 				w.step(m, e)
 			}
@@ -425,7 +426,7 @@
 			}
 			seen.Offer = &o
 		}
-		w.later(storeLatency, func() {
+		w.later(storeLatency+w.store.slow, func() {
 			if x.m.alive && x.m.core == x.core {
 				w.step(x.m, seen)
 			}
--- a/examples/examples.go
+++ b/examples/documents.go
@@ -1,4 +1,3 @@
-// Package examples holds the example documents and settings of two deployments.
 package examples
 
 import _ "embed"
--- a/gateway/meters.go
+++ b/gateway/meters.go
@@ -10,13 +10,16 @@
 	"github.com/cassialead/cassialead/config"
 )
 
-const maxTenants = 200 // tenants told apart in metrics; the rest count as "other"
+const (
+	maxTenantClasses = 400 // pairs of tenant and class told apart in metrics; callers choose tenants freely
+	otherTenants     = "other"
+)
 
 // meters keeps counters by decision and histograms by tenant and class.
 type meters struct {
 	set      *metrics.Set
 	calls    sync.Map // meterKey to *callMeters
-	tenants  atomic.Int64
+	known    atomic.Int64
 	refusals sync.Map // Cause to *metrics.Counter
 
 	hedges, hedgeWins, repeats, elsewhere, fences, crossed, aborted, regionBytes *metrics.Counter
@@ -49,8 +52,8 @@
 	if c, ok := m.calls.Load(meterKey{tenant, class}); ok {
 		return c.(*callMeters)
 	}
-	if m.tenants.Add(1) > maxTenants {
-		tenant = "other"
+	if tenant != otherTenants && m.known.Add(1) > maxTenantClasses {
+		return m.of(otherTenants, class)
 	}
 	labels := fmt.Sprintf("{tenant=%q,class=%q}", tenant, class)
 	c := &callMeters{
