node: bound how often a table is built for changes of records alone

Cause: a node given 5,900 records of which 490 belonged to its own data centre and did not answer took 13.6% of a core: each loss built a new table, 20 a second. A first change of records still waits 20 ms, so that a drain is as fast as it was. The leads that the store lists no longer change a shared map.

--- a/cmds/measure.go
+++ b/cmds/measure.go
@@ -84,6 +84,8 @@
 		func(ctx context.Context) ([]*measure.Report, error) { return one(measure.Links(ctx, o)) })
 	f := cmd.Flags()
 	f.IntSliceVar(&o.Sizes, "sizes", []int{50, 100, 200}, "numbers of links")
+	f.IntVar(&o.Records, "records", 0, "records that the node holds")
+	f.IntVar(&o.Services, "services", 240, "services in the document")
 	f.Uint64Var(&o.Seed, "seed", 1, seedUsage)
 	return cmd
 }
--- a/control/core.go
+++ b/control/core.go
@@ -28,6 +28,8 @@
 	joinAloneJitter    = 2 * time.Second
 	floorWait          = 3 * time.Second
 	offerResend        = 400 * time.Millisecond
+	maxResendDoublings = 5
+	resendsPerDoubling = 5 // offers that may simply have been lost before they are spaced out
 	forgetGone         = 10 * time.Minute
 	maxDistance        = 8
 	fullSyncsPerSecond = 25
--- a/control/lead.go
+++ b/control/lead.go
@@ -1,6 +1,8 @@
 package control
 
 import (
+	"maps"
+
 	"github.com/cassialead/cassialead/fleet"
 )
 
@@ -148,7 +150,7 @@
 
 // leads returns the lead of each data centre by the records and, where it lists a later term, by the store.
 func (c *Core) leads() map[fleet.DataCentre]fleet.Record {
-	leads := c.fleet.Leads()
+	leads := maps.Clone(c.fleet.Leads())
 	for _, l := range c.store.listed {
 		r, known := c.fleet.Get(l.Node)
 		if known && r.Live() && l.Lead > leads[l.DataCentre].Lead {
--- a/control/link.go
+++ b/control/link.go
@@ -26,6 +26,9 @@
 	beat    time.Time
 	held    Held
 	offered time.Time
+	// resends counts the offers of offeredVersion that the other end has not taken.
+	resends        int
+	offeredVersion config.Version
 	// distance is the other end's number of links to its root.
 	distance int
 	summary  rollout.Summary
@@ -163,17 +166,26 @@
 	if h.Lineage == c.holder.Lineage() || c.holder.Lineage() == "" {
 		c.seen[l.node] = max(c.seen[l.node], h.Version)
 	}
-	if l.role != RoleSpare && l.greeted && c.now.Sub(l.offered) >= offerResend {
+	if l.role != RoleSpare && l.greeted && c.now.Sub(l.offered) >= l.resendAfter() {
 		c.sendOffer(l, h)
 	}
 }
 
+// resendAfter spaces the offers to a neighbour that does not take them, such as one of an older release.
+func (l *link) resendAfter() time.Duration {
+	return offerResend << min(l.resends/resendsPerDoubling, maxResendDoublings)
+}
+
 // sendOffer sends what a neighbour that holds h needs, if anything.
 func (c *Core) sendOffer(l *link, h Held) {
 	o, ok := c.holder.Offer(h.Lineage, h.Version)
 	if !ok || (h.Lineage != "" && h.Lineage != o.Lineage) {
 		return
 	}
+	l.resends++
+	if l.offeredVersion != o.Version {
+		l.offeredVersion, l.resends = o.Version, 0
+	}
 	l.offered = c.now
 	c.do(Send{l.id, Offer(o)})
 }
--- a/measure/links.go
+++ b/measure/links.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"os"
 	"time"
 
 	"github.com/VictoriaMetrics/metrics"
@@ -16,7 +17,9 @@
 // LinkOptions choose how many idle links one node gets.
 type LinkOptions struct {
 	Sizes []int
-	Seed  uint64
+	// Records and Services fill the node before its links are measured.
+	Records, Services int
+	Seed              uint64
 }
 
 const (
@@ -26,25 +29,30 @@
 
 // Links measures the processor time of idle links to one node. Both ends run here, so that an end costs half.
 func Links(ctx context.Context, o LinkOptions) (*Report, error) {
-	r := &Report{Command: fmt.Sprintf("cassialead measure links --sizes %v", o.Sizes), Seed: o.Seed,
-		Columns: []string{"links", "cpu %", "cpu % per end"}}
+	r := &Report{Command: fmt.Sprintf("cassialead measure links --sizes %v --records %d --services %d", o.Sizes, o.Records, o.Services),
+		Seed: o.Seed, Columns: []string{"links", "cpu %", "cpu % per end", "resident MB", "known"}}
 	f, err := trial.New(trial.Uniform(1, 1), o.Seed, nil)
 	if err != nil {
 		return nil, err
 	}
 	defer f.Close()
+	if err := fill(ctx, f, o); err != nil {
+		return nil, err
+	}
 	time.Sleep(linkSettle)
 	alone := idleCPU()
+	r.Rows = append(r.Rows, Row{"links": 0, "cpu %": alone, "resident MB": residentMB(), "known": float64(f.VMs[0].Node.Known())})
 	open := 0
 	for _, n := range o.Sizes {
 		for ; open < n; open++ {
-			if err := idleLink(ctx, f, open); err != nil {
+			if _, err := idleLink(ctx, f, open); err != nil {
 				return nil, err
 			}
 		}
 		time.Sleep(linkSettle)
 		cpu := idleCPU()
-		r.Rows = append(r.Rows, Row{"links": float64(n), "cpu %": cpu, "cpu % per end": (cpu - alone) / float64(n) / 2})
+		r.Rows = append(r.Rows, Row{"links": float64(n), "cpu %": cpu, "cpu % per end": (cpu - alone) / float64(n) / 2,
+			"resident MB": residentMB(), "known": float64(f.VMs[0].Node.Known())})
 	}
 	r.Fit("cpu %")
 	return r, nil
@@ -57,20 +65,55 @@
 }
 
 // idleLink opens a link that only exchanges heartbeats.
-func idleLink(ctx context.Context, f *trial.Fleet, i int) error {
+func idleLink(ctx context.Context, f *trial.Fleet, i int) (*link.Conn, error) {
 	_, address, _ := f.VMs[0].Node.Addresses()
 	c, err := link.Dial(ctx, address, link.NewTraffic(metrics.NewSet()))
 	if err != nil {
-		return err
+		return nil, err
 	}
 	name := fmt.Sprintf("idle-%d", i)
 	c.Send(control.Hello{Role: control.RolePeer, Record: fleet.Record{Node: fleet.NodeID(name), DataCentre: fleet.DataCentre(name),
 		Region: "elsewhere", Incarnation: 1, Sequence: 1}})
 	go func() { _ = c.Run(func(control.Message) {}) }()
+	s := f.VMs[0].Node.Status()
 	go func() {
-		for c.Send(control.Beat{}) {
+		for c.Send(control.Beat{Held: control.Held{Lineage: s.Lineage, Version: s.Version}}) {
 			time.Sleep(beatInterval)
 		}
 	}()
-	return nil
+	return c, nil
+}
+
+// fill gives the node a document and the records of a fleet.
+func fill(ctx context.Context, f *trial.Fleet, o LinkOptions) error {
+	if o.Records == 0 {
+		return nil
+	}
+	v, err := f.Apply(ctx, Document(o.Services), "first")
+	if err != nil {
+		return err
+	}
+	if _, err := f.AwaitVersion(v, settleLimit); err != nil {
+		return err
+	}
+	c, err := idleLink(ctx, f, -1)
+	if err != nil {
+		return err
+	}
+	c.Send(control.Records{Records: syntheticRecords(o.Records, o.Services)})
+	_, err = f.Await(settleLimit, func(vm *trial.VM) bool { return vm.Node.Known() >= o.Records })
+	return err
+}
+
+// residentMB returns this process's resident memory, which holds the node, its store and the other ends of its links.
+func residentMB() float64 {
+	data, err := os.ReadFile("/proc/self/statm")
+	if err != nil {
+		return 0
+	}
+	var size, resident float64
+	if _, err := fmt.Sscan(string(data), &size, &resident); err != nil {
+		return 0
+	}
+	return resident * float64(os.Getpagesize()) / 1e6
 }
--- a/measure/state.go
+++ b/measure/state.go
@@ -44,10 +44,10 @@
 	const centres = 12
 	rs := make([]fleet.Record, n)
 	for i := range rs {
-		dc := i % centres
+		dc := i%centres + 1
 		rs[i] = fleet.Record{
-			Node: fleet.NodeID(fmt.Sprintf("dc-%02d-vm-%04d", dc, i)), DataCentre: fleet.DataCentre(fmt.Sprintf("dc-%02d", dc)),
-			Region: fleet.Region(fmt.Sprintf("region-%d", dc/4)), Incarnation: fleet.Incarnation(1_796_000_000_000 + uint64(i)*7919),
+			Node: fleet.NodeID(fmt.Sprintf("dc-%02d-vm-%04d", dc, i)), DataCentre: fleet.DataCentre(fmt.Sprintf("away-dc-%02d", dc)),
+			Region: fleet.Region(fmt.Sprintf("away-%d", dc/5)), Incarnation: fleet.Incarnation(1_796_000_000_000 + uint64(i)*7919),
 			Sequence: fleet.Sequence(2 + i%5), Call: fleet.Address(fmt.Sprintf("10.%d.%d.%d:9001", dc, i/250, i%250)),
 			Link:    fleet.Address(fmt.Sprintf("10.%d.%d.%d:9002", dc, i/250, i%250)),
 			Targets: []fleet.Target{{Service: config.ServiceName(fmt.Sprintf("service-%03d", i%services)), Slots: 9}},
--- a/node/act.go
+++ b/node/act.go
@@ -67,7 +67,8 @@
 	go job(ctx)
 }
 
-// schedulePublish builds a new table at once for configuration, and after a short wait for records.
+// schedulePublish builds a new table at once for configuration. Changes of records wait a little, and longer while they
+// come in numbers, as when a data centre is lost: a table of 5,900 records takes milliseconds to build.
 func (n *Node) schedulePublish(core *control.Core, now bool) {
 	if now {
 		n.publish(core)
@@ -77,11 +78,13 @@
 		return
 	}
 	n.publishing = true
-	time.AfterFunc(publishDelay, func() { n.post(publishNow{}) })
+	wait := max(publishDelay, publishPeriod-n.deps.Now().Sub(n.published))
+	time.AfterFunc(wait, func() { n.post(publishNow{}) })
 }
 
 func (n *Node) publish(core *control.Core) {
 	n.publishing = false
+	n.published = n.deps.Now()
 	self := core.Self()
 	n.self.Store(&self)
 	cfg, held := core.Config()
--- a/node/node.go
+++ b/node/node.go
@@ -26,7 +26,8 @@
 
 const (
 	eventQueue    = 1024
-	publishDelay  = 20 * time.Millisecond // changes of records are gathered before a new table is built
+	publishDelay  = 20 * time.Millisecond  // changes of records are gathered before a new table is built
+	publishPeriod = 500 * time.Millisecond // least time between two tables for changes of records alone
 	headerTimeout = 5 * time.Second
 	shutdownWait  = 200 * time.Millisecond // lets the last records leave before the links close
 )
@@ -60,6 +61,7 @@
 	callServer, linkServer, localServer *http.Server
 	self                                atomic.Pointer[fleet.Record]
 	publishing                          bool
+	published                           time.Time
 	inbound                             atomic.Uint64
 	ready                               atomic.Bool
 	known                               atomic.Int64
