gateway: never call a repeated call not run when its first attempt may have

Cause: a call whose attempt broke was repeated, and when the repeat was refused before it ran, the caller got that refusal: 'not run', although the first attempt may have run. Found by reading the change again; only idempotent calls are repeated, but 'not run' must be true for them as well.

--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -166,6 +166,8 @@
 	attempts  int
 	elsewhere int
 	retries   int
+	// mayHaveRun says that an attempt broke whose work may have been done.
+	mayHaveRun bool
 }
 
 // launch starts another attempt, or returns why it can't.
@@ -216,6 +218,7 @@
 		return r.again(x.g.budget.Elsewhere, maxElsewhere, &r.elsewhere, x.call.repeat,
 			notRun(http.StatusServiceUnavailable, CauseNoTarget, "the target's node can't be reached; the call has not run").response())
 	case t.err != nil:
+		r.mayHaveRun = true
 		x.end(t, route.Failed)
 		return r.again(x.mayRepeat, x.policy.Retries, &r.retries, true,
 			Refusal{http.StatusBadGateway, CauseBroken, RanUnknown, "the connection to the target's node broke", 0}.response())
@@ -224,6 +227,7 @@
 		x.g.meters.elsewhere.Inc()
 		return r.again(x.g.budget.Elsewhere, maxElsewhere, &r.elsewhere, x.call.repeat, t.resp)
 	case refused(t.resp), t.resp.StatusCode == http.StatusServiceUnavailable:
+		r.mayHaveRun = true
 		// A target that sheds load answers fast; counting that as a failure keeps it from drawing more calls.
 		x.end(t, route.Failed)
 		return r.again(x.mayRepeat, x.policy.Retries, &r.retries, true, t.resp)
@@ -251,6 +255,10 @@
 			return answer{}, false
 		}
 	}
+	if r.mayHaveRun && last.Header.Get(HeaderRan) == string(RanNo) {
+		last = Refusal{http.StatusBadGateway, CauseBroken, RanUnknown,
+			"an attempt broke and the next was refused; whether the call ran is unknown", 0}.response()
+	}
 	return answer{resp: last, end: func() {}, attempts: r.attempts}, true
 }
 
--- a/gateway/failure_test.go
+++ b/gateway/failure_test.go
@@ -68,6 +68,28 @@
 		Expect(r.err).To(MatchError(io.ErrUnexpectedEOF))
 	})
 
+	It("are never called not run when an attempt before the refusal may have run", func() {
+		s := newSite(2, 0)
+		s.faults(standin.TargetFaults{BreakAfterRun: true}, 0)
+		p := s.places[1]
+		p.mu.Lock()
+		for name, t := range p.local {
+			t.Draining = true
+			p.local[name] = t
+		}
+		p.mu.Unlock()
+		ran := 0
+		for i := range 8 {
+			name := fmt.Sprintf("broken-then-refused-%d", i)
+			r := s.places[i%2].call(http.MethodGet, "/stock?order="+name)
+			if s.runs(name) > 0 {
+				ran++
+				Expect(r.ran()).To(Equal("unknown"), r.body)
+			}
+		}
+		Expect(ran).To(BeNumerically(">", 0))
+	})
+
 	It("go to another target when one takes no connections", func() {
 		s := newSite(3, 0)
 		s.places[1].target.Kill()
