all: read leads, attempts and links in one place each

The store's list of leads was decoded in node, again in its lease and again in operator: node.Leads and leadRecord serve all. inward.fence repeated what serveFence does, and its caller only needs Ledger.Find. Links were taken off in three places: retire serves them. A target's announcement was copied to the heap for each call; it is now only when it has changed.

--- a/cmds/fleet.go
+++ b/cmds/fleet.go
@@ -10,7 +10,7 @@
 	"github.com/cassialead/cassialead/control"
 	"github.com/cassialead/cassialead/fleet"
 	"github.com/cassialead/cassialead/history"
-	"github.com/cassialead/cassialead/operator"
+	"github.com/cassialead/cassialead/node"
 )
 
 func (a *app) needNode() (fleet.Address, error) {
@@ -75,7 +75,7 @@
 	if err != nil && !errors.Is(err, history.ErrEmpty) {
 		return err
 	}
-	leads, err := operator.Leads(cmd.Context(), a.store())
+	leads, err := node.Leads(cmd.Context(), a.store())
 	if err != nil {
 		return err
 	}
--- a/control/greeting.go
+++ b/control/greeting.go
@@ -40,8 +40,7 @@
 func (c *Core) replaceOlder(l *link) {
 	for _, o := range c.sortedLinks() {
 		if o != l && o.inbound && o.node == l.node && (o.role == RolePeer) == (l.role == RolePeer) {
-			c.do(Close{Link: o.id})
-			delete(c.links, o.id)
+			c.retire(o)
 		}
 	}
 }
@@ -153,8 +152,7 @@
 	if l.role == RoleEntry {
 		c.entry.reset()
 		c.entry.next = c.now.Add(retryCap)
-		delete(c.links, l.id)
-		c.do(Close{Link: l.id})
+		c.retire(l)
 		return
 	}
 	c.drop(l)
--- a/control/parent.go
+++ b/control/parent.go
@@ -162,7 +162,7 @@
 	}
 }
 
-// retire closes an own link without holding its end against the other node.
+// retire closes a link without holding its end against the other node.
 func (c *Core) retire(l *link) {
 	delete(c.links, l.id)
 	c.do(Close{Link: l.id})
--- a/gateway/inward.go
+++ b/gateway/inward.go
@@ -57,14 +57,20 @@
 		in.gates[s] = g
 		return g
 	}
-	if old := g.target.Swap(&t); old.Slots != t.Slots {
-		g.mu.Lock()
-		g.queue.SetSlots(t.Slots)
-		g.mu.Unlock()
+	if *g.target.Load() != t {
+		g.update(t)
 	}
 	return g
 }
 
+// update takes what the target has announced anew.
+func (g *gate) update(t LocalTarget) {
+	g.target.Store(&t)
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.queue.SetSlots(t.Slots)
+}
+
 func newGate(t LocalTarget) *gate {
 	once := newTransport(0)
 	once.DisableKeepAlives = true
--- a/gateway/once.go
+++ b/gateway/once.go
@@ -41,12 +41,10 @@
 	}
 	in.ledgerMu.Lock()
 	a, err := in.ledger.Begin(in.deps.Now(), c.attempt, *c.startBy)
+	known := in.ledger.Find(c.attempt)
 	in.ledgerMu.Unlock()
 	if errors.Is(err, ledger.ErrRepeated) {
-		state, known := in.fence(c.attempt, *c.startBy)
-		if state != ledger.Never {
-			waitDone(ctx, known, c.deadline.Sub(in.deps.Now()))
-		}
+		waitDone(ctx, known, c.deadline.Sub(in.deps.Now()))
 		return in.kept(known)
 	}
 	if err != nil {
@@ -153,16 +151,6 @@
 	Result ledger.Result `json:"result"`
 }
 
-func (in *inward) fence(id ledger.AttemptID, by ledger.StartBy) (ledger.State, *ledger.Attempt) {
-	in.ledgerMu.Lock()
-	defer in.ledgerMu.Unlock()
-	if a := in.ledger.Find(id); a != nil {
-		state, _ := in.ledger.Result(a)
-		return state, a
-	}
-	return in.ledger.Fence(in.deps.Now(), id, by)
-}
-
 func (in *inward) serveFence(w http.ResponseWriter, r *http.Request) {
 	var q fenceRequest
 	if err := json.NewDecoder(io.LimitReader(r.Body, maxHeaderBytes)).Decode(&q); err != nil {
--- a/node/act.go
+++ b/node/act.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"encoding/json"
 	"net/http"
 	"slices"
 	"time"
@@ -20,7 +19,6 @@
 const (
 	watchWait    = 50 * time.Second
 	probeTimeout = time.Second
-	leadPrefix   = "cassialead/lead/"
 	inboundBase  = 1 << 32                // ids of inbound links start here
 	absentWait   = 500 * time.Millisecond // between looks at a store without a head
 )
@@ -189,17 +187,10 @@
 }
 
 func (n *Node) listLeads(ctx context.Context) {
-	entries, err := n.deps.Store.List(ctx, leadPrefix)
+	leads, err := Leads(ctx, n.deps.Store)
 	if err != nil {
 		return
 	}
-	var leads []fleet.Record
-	for _, e := range entries {
-		var r fleet.Record
-		if json.Unmarshal(e.Value, &r) == nil && r.Node != n.cfg.VM {
-			r.Lead = fleet.Term(e.Index)
-			leads = append(leads, r)
-		}
-	}
+	leads = slices.DeleteFunc(leads, func(r fleet.Record) bool { return r.Node == n.cfg.VM })
 	n.post(control.LeadsSeen{Leads: leads})
 }
--- a/node/lease.go
+++ b/node/lease.go
@@ -13,6 +13,33 @@
 	"github.com/cassialead/cassialead/store"
 )
 
+const leadPrefix = "cassialead/lead/"
+
+// Leads returns the leads that the store lists, each with its term, or store.ErrUnavailable.
+func Leads(ctx context.Context, port store.Port) ([]fleet.Record, error) {
+	entries, err := port.List(ctx, leadPrefix)
+	if err != nil {
+		return nil, err
+	}
+	var leads []fleet.Record
+	for _, e := range entries {
+		if r, ok := leadRecord(e); ok {
+			leads = append(leads, r)
+		}
+	}
+	return leads, nil
+}
+
+// leadRecord reads a lead's entry; it reports false for one that is not readable.
+func leadRecord(e store.Entry) (fleet.Record, bool) {
+	var r fleet.Record
+	if json.Unmarshal(e.Value, &r) != nil || r.Node == "" {
+		return r, false
+	}
+	r.Lead = fleet.Term(e.Index)
+	return r, true
+}
+
 // leaseHolder keeps what the store calls of a lead share.
 type leaseHolder struct {
 	mu    sync.Mutex
@@ -96,11 +123,10 @@
 }
 
 func heldBy(e store.Entry) control.LeaseResult {
-	var r fleet.Record
-	if json.Unmarshal(e.Value, &r) != nil || r.Node == "" {
+	r, ok := leadRecord(e)
+	if !ok {
 		return control.LeaseResult{}
 	}
-	r.Lead = fleet.Term(e.Index)
 	return control.LeaseResult{Holder: &r}
 }
 
--- a/operator/client.go
+++ b/operator/client.go
@@ -22,7 +22,6 @@
 
 const (
 	callTimeout  = 2 * time.Second
-	leadPrefix   = "cassialead/lead/"
 	pollInterval = 50 * time.Millisecond
 )
 
@@ -85,22 +84,6 @@
 	return s, c.call(ctx, http.MethodPost, a, "/v1/drain", &s)
 }
 
-// Leads returns the leads listed in the store.
-func Leads(ctx context.Context, port store.Port) ([]fleet.Record, error) {
-	entries, err := port.List(ctx, leadPrefix)
-	if err != nil {
-		return nil, err
-	}
-	var leads []fleet.Record
-	for _, e := range entries {
-		var r fleet.Record
-		if json.Unmarshal(e.Value, &r) == nil {
-			leads = append(leads, r)
-		}
-	}
-	return leads, nil
-}
-
 // Spread says how far a version has come.
 type Spread struct {
 	Version config.Version `json:"version"`
@@ -151,7 +134,7 @@
 func (c *Client) Await(ctx context.Context, port store.Port, v config.Version) (Spread, error) {
 	started := time.Now()
 	var last Spread
-	leads, err := Leads(ctx, port)
+	leads, err := node.Leads(ctx, port)
 	if err != nil {
 		return last, err
 	}
