--- /dev/null
+++ b/agent/peer.go
@@ -0,0 +1,267 @@
+package agent
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"io"
+	"math/rand/v2"
+	"net/http"
+	"strconv"
+	"sync"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/cassialead/cassialead/config"
+	"github.com/cassialead/cassialead/fleet"
+	"github.com/cassialead/cassialead/hop"
+	"github.com/cassialead/cassialead/member"
+)
+
+const (
+	pingPath    = "/cassialead/ping"
+	viewPath    = "/cassialead/view"
+	peerTimeout = 600 * time.Millisecond // a round trip between regions and one lost packet
+	probePeriod = 100 * time.Millisecond // between two looks at members in doubt
+	recheck     = 800 * time.Millisecond // between two questions to an unlisted member; three fit into its grace
+	askPeriod   = 400 * time.Millisecond // between two questions for news while the store does not answer
+	maxView     = 4 << 20                // bytes of a view
+)
+
+// servePeer takes calls and questions of other nodes.
+func (a *Agent) servePeer(w http.ResponseWriter, r *http.Request) {
+	switch r.URL.Path {
+	case pingPath:
+		writeJSON(w, a.pong())
+		return
+	case viewPath:
+		a.serveView(w, r)
+		return
+	}
+	a.inflight.enter()
+	defer a.inflight.leave()
+	now := a.deps.Now()
+	body, cause := a.readBody(r)
+	if cause != "" {
+		w.WriteHeader(http.StatusBadRequest)
+		return
+	}
+	c, err := hop.ReadCall(r, body, now)
+	if err != nil {
+		a.deps.Log.Warn("malformed call of a node", "from", r.RemoteAddr, "error", err)
+		w.WriteHeader(http.StatusBadRequest)
+		return
+	}
+	s := &sign{w: w}
+	timer := time.AfterFunc(hop.SignAfter(), s.give)
+	o := a.gate.Do(r.Context(), c)
+	timer.Stop()
+	s.end()
+	h := http.Header{}
+	status := hop.WriteOutcome(h, c.ID, o)
+	answered, ok := o.(*hop.Answered)
+	if !ok {
+		answered = &hop.Answered{Header: http.Header{}, Release: func() {}}
+	}
+	hop.RemoveConnectionHeaders(answered.Header)
+	for name, values := range h {
+		answered.Header[name] = values
+	}
+	writeAnswer(w, answered, status)
+}
+
+// sign says once that a call has come, unless it has been answered.
+type sign struct {
+	mu   sync.Mutex
+	w    http.ResponseWriter
+	done bool
+}
+
+func (s *sign) give() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if !s.done {
+		s.w.WriteHeader(http.StatusProcessing)
+	}
+}
+
+func (s *sign) end() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.done = true
+}
+
+// pong is a node's answer to a ping.
+type pong struct {
+	Record member.Record  `json:"record"`
+	Plan   config.Version `json:"plan"`
+}
+
+func (a *Agent) pong() pong { return pong{a.registrar.current(), a.version()} }
+
+// news is what a node tells another that the store does not answer.
+type news struct {
+	Plan    json.RawMessage `json:"plan,omitempty"`
+	Records []member.Record `json:"records"`
+}
+
+func (a *Agent) news(held config.Version) news {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	n := news{}
+	if a.version() > held {
+		n.Plan = a.rawPlan
+	}
+	for _, m := range a.view.Members() {
+		n.Records = append(n.Records, m.Record)
+	}
+	return n
+}
+
+func (a *Agent) takeNews(n news, from string) {
+	if len(n.Plan) > 0 {
+		a.takePlan(n.Plan, from)
+	}
+	a.merge(n.Records, false)
+	if len(n.Records) > 0 {
+		a.loaded.Store(true)
+	}
+}
+
+// serveView tells the asking node what is new to it, or takes what another node tells.
+func (a *Agent) serveView(w http.ResponseWriter, r *http.Request) {
+	if r.Method == http.MethodPost {
+		var n news
+		if err := json.NewDecoder(io.LimitReader(r.Body, maxView)).Decode(&n); err != nil {
+			a.deps.Log.Warn("malformed news of a node", "from", r.RemoteAddr, "error", err)
+			w.WriteHeader(http.StatusBadRequest)
+			return
+		}
+		a.takeNews(n, r.RemoteAddr)
+		return
+	}
+	held, err := strconv.ParseUint(r.URL.Query().Get("plan"), 10, 64)
+	if err != nil {
+		w.WriteHeader(http.StatusBadRequest)
+		return
+	}
+	writeJSON(w, a.news(config.Version(held)))
+}
+
+func writeJSON(w http.ResponseWriter, v any) {
+	w.Header().Set("Content-Type", "application/json")
+	_ = json.NewEncoder(w).Encode(v) // the asking node asks again
+}
+
+// probe asks the members in doubt whether they live, and others for news while the store does not answer.
+func (a *Agent) probe(ctx context.Context) {
+	asked := map[fleet.NodeID]time.Time{}
+	var lastNews time.Time
+	for ctx.Err() == nil {
+		sleep(ctx, probePeriod)
+		now := a.deps.Now()
+		a.mu.Lock()
+		members := a.view.Members()
+		a.publishMembers(a.view.Expire(now))
+		a.mu.Unlock()
+		for _, m := range members {
+			if a.doubtful(m, now) && now.Sub(asked[m.Node]) >= recheck {
+				asked[m.Node] = now
+				go a.ping(ctx, m)
+			}
+		}
+		if !a.storeOK.Load() && now.Sub(lastNews) >= askPeriod {
+			lastNews = now
+			go a.askNews(ctx, members)
+		}
+	}
+}
+
+func (a *Agent) doubtful(m member.Member, now time.Time) bool {
+	if m.Node == a.cfg.Load().VM {
+		return false
+	}
+	if m.Unlisted {
+		return true
+	}
+	for _, p := range a.board.Find(m.Node) {
+		if p.Unreachable() && p.Available(now) {
+			return true
+		}
+	}
+	return false
+}
+
+// ping asks a member whether it lives.
+func (a *Agent) ping(ctx context.Context, m member.Member) {
+	var p pong
+	err := a.ask(ctx, http.MethodGet, m.Address, pingPath, nil, &p)
+	now := a.deps.Now()
+	peers := a.board.Find(m.Node)
+	if err != nil || p.Record.Node != m.Node {
+		for _, peer := range peers {
+			peer.Silent(now)
+		}
+		return
+	}
+	for _, peer := range peers {
+		peer.Answered()
+	}
+	a.mu.Lock()
+	a.view.Confirm(m.Node, p.Record.Incarnation, now)
+	a.mu.Unlock()
+	a.merge([]member.Record{p.Record}, false)
+	if p.Plan == 0 && a.version() > 0 {
+		// The member has started while the store is out; it knows nobody to ask.
+		if err := a.ask(ctx, http.MethodPost, m.Address, viewPath, a.news(0), nil); err != nil {
+			a.deps.Log.Info("news not delivered", "node", m.Node, "error", err)
+		}
+	}
+}
+
+// askNews asks a random member for what is new.
+func (a *Agent) askNews(ctx context.Context, members []member.Member) {
+	if len(members) == 0 {
+		return
+	}
+	m := members[rand.IntN(len(members))]
+	if m.Node == a.cfg.Load().VM {
+		return
+	}
+	var n news
+	path := viewPath + "?plan=" + strconv.FormatUint(uint64(a.version()), 10)
+	if err := a.ask(ctx, http.MethodGet, m.Address, path, nil, &n); err != nil {
+		a.deps.Log.Info("no news", "node", m.Node, "error", err)
+		return
+	}
+	a.takeNews(n, string(m.Node))
+}
+
+// ask puts a question to a node.
+func (a *Agent) ask(ctx context.Context, method string, to fleet.Address, path string, in, out any) error {
+	var body io.Reader
+	if in != nil {
+		data, err := json.Marshal(in)
+		if err != nil {
+			return errors.Wrap(err, "encode a question")
+		}
+		body = bytes.NewReader(data)
+	}
+	req, err := http.NewRequestWithContext(ctx, method, "http://"+string(to)+path, body)
+	if err != nil {
+		return errors.Wrap(err, "make a question")
+	}
+	resp, err := a.peers.Do(req)
+	if err != nil {
+		return errors.Wrapf(err, "ask %s", to)
+	}
+	defer func() { _ = resp.Body.Close() }()
+	if resp.StatusCode != http.StatusOK {
+		return errors.Newf("ask %s: status %d", to, resp.StatusCode)
+	}
+	if out == nil {
+		return nil
+	}
+	return errors.Wrapf(json.NewDecoder(io.LimitReader(resp.Body, maxView)).Decode(out), "ask %s", to)
+}
--- /dev/null
+++ b/dispatch/dispatch.go
@@ -0,0 +1,131 @@
+package dispatch
+
+import (
+	"context"
+	"log/slog"
+	"math/rand/v2"
+	"net/http"
+	"strings"
+	"sync/atomic"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+
+	"github.com/cassialead/cassialead/config"
+	"github.com/cassialead/cassialead/fleet"
+	"github.com/cassialead/cassialead/hop"
+)
+
+// Carrier brings calls to other nodes.
+type Carrier interface {
+	// Carry brings a call to the node at an address.
+	Carry(ctx context.Context, to fleet.Address, c *hop.Call) hop.Outcome
+}
+
+// Local brings calls to the target on this VM.
+type Local interface {
+	// Do admits a call and brings it to the target.
+	Do(ctx context.Context, c *hop.Call) hop.Outcome
+}
+
+// Deps are what a dispatcher needs from its surroundings.
+type Deps struct {
+	Board   *Board
+	Carrier Carrier
+	Local   Local
+	Budget  *Budget
+	Log     *slog.Logger
+	Metrics *metrics.Set
+	Now     func() time.Time
+}
+
+// Request is a caller's request.
+type Request struct {
+	ID     hop.CallID
+	Method string
+	URI    string
+	Host   string
+	Header http.Header
+	Body   []byte
+	Origin config.ServiceName
+	Left   time.Duration // what the caller will wait; zero means that it does not say
+	Came   time.Time
+}
+
+// Dispatcher carries callers' requests to targets; it is safe for concurrent use.
+type Dispatcher struct {
+	deps   Deps
+	meters *meters
+	plan   atomic.Pointer[config.Plan]
+	parts  shares
+	sizes  sizes
+}
+
+// New returns a dispatcher without a configuration.
+func New(deps Deps) *Dispatcher {
+	return &Dispatcher{deps: deps, meters: newMeters(deps.Metrics)}
+}
+
+// Publish puts a configuration into force, unless a newer one is.
+func (d *Dispatcher) Publish(p *config.Plan) bool {
+	for {
+		old := d.plan.Load()
+		if old != nil && old.Version >= p.Version {
+			return false
+		}
+		if d.plan.CompareAndSwap(old, p) {
+			return true
+		}
+	}
+}
+
+// Plan returns the configuration in force, or nil.
+func (d *Dispatcher) Plan() *config.Plan { return d.plan.Load() }
+
+const answerMargin = 20 * time.Millisecond // before the deadline, in which the answer reaches the caller
+
+// Do carries a request; the outcome's Release must be called once its answer has been passed on.
+func (d *Dispatcher) Do(ctx context.Context, in *Request) hop.Outcome {
+	plan := d.plan.Load()
+	if plan == nil {
+		return hop.Refused{Cause: hop.NoPlan, RetryAfter: noPlanRetry}
+	}
+	path, _, _ := strings.Cut(in.URI, "?")
+	rule := plan.Match(config.Host(in.Host), path)
+	if rule == nil {
+		return hop.Refused{Cause: hop.NoRoute}
+	}
+	x := d.newTrip(in, plan, rule)
+	ctx, cancel := context.WithDeadline(ctx, x.call.Deadline)
+	o := x.run(ctx)
+	if a, ok := o.(*hop.Answered); ok {
+		release := a.Release
+		a.Release = func() {
+			release()
+			cancel()
+		}
+		d.sizes.observe(rule.Name, len(in.Body)+len(a.Body))
+	} else {
+		cancel()
+	}
+	d.meters.outcome(rule.Name, x.call.Service, o, d.deps.Now().Sub(in.Came))
+	return o
+}
+
+const noPlanRetry = 500 * time.Millisecond // a starting node has its configuration by then, if the store answers
+
+func (d *Dispatcher) newTrip(in *Request, plan *config.Plan, rule *config.Rule) *trip {
+	wait := rule.Timeout
+	if in.Left > 0 && (in.Left < wait || wait <= 0) {
+		wait = in.Left
+	}
+	t := &trip{d: d, in: in, plan: plan, rule: rule, rng: rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))}
+	t.call = hop.Call{ID: in.ID, Method: in.Method, URI: in.URI, Host: in.Host, Header: in.Header, Body: in.Body, Route: rule.Name,
+		Service: d.parts.part(rule), Origin: in.Origin, Rank: rank(rule), Repeatable: rule.Repeatable(),
+		Aim: in.Came.Add(rule.Aim), Deadline: in.Came.Add(wait - answerMargin)}
+	d.deps.Budget.Earn(t.call.Service, in.Came)
+	return t
+}
+
+// rank returns the rank of a rule's calls at a gate.
+func rank(r *config.Rule) hop.Rank { return hop.Rank(r.Priority) }
--- /dev/null
+++ b/dispatch/meters.go
@@ -0,0 +1,64 @@
+package dispatch
+
+import (
+	"strconv"
+	"sync"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+
+	"github.com/cassialead/cassialead/config"
+	"github.com/cassialead/cassialead/hop"
+)
+
+// meters are a dispatcher's counters and histograms.
+type meters struct {
+	set     *metrics.Set
+	repeats *metrics.Counter
+}
+
+func newMeters(set *metrics.Set) *meters {
+	return &meters{set: set, repeats: set.GetOrCreateCounter("cassialead_repeats_total")}
+}
+
+// outcome records a request's outcome; routes that share a service and an outcome share a histogram, as routes are many.
+func (m *meters) outcome(_ config.RouteName, s config.ServiceName, o hop.Outcome, took time.Duration) {
+	label := ""
+	switch o := o.(type) {
+	case *hop.Answered:
+		label = `outcome="answered",status="` + strconv.Itoa(o.Status) + `"`
+	case hop.Refused:
+		label = `outcome="refused",cause="` + string(o.Cause) + `"`
+	case hop.Failed:
+		label = `outcome="failed",cause="` + string(o.Cause) + `"`
+	}
+	m.set.GetOrCreateHistogram(`cassialead_request_seconds{service="` + string(s) + `",` + label + `}`).Update(took.Seconds())
+}
+
+const sizeGain = 0.1 // weight of one call in the mean size of a route's calls
+
+// sizes keeps the mean bytes of each route's requests and answers.
+type sizes struct {
+	mu   sync.Mutex
+	mean map[config.RouteName]float64
+}
+
+func (s *sizes) observe(r config.RouteName, bytes int) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.mean == nil {
+		s.mean = map[config.RouteName]float64{}
+	}
+	mean, ok := s.mean[r]
+	if !ok {
+		mean = float64(bytes)
+	}
+	s.mean[r] = mean + sizeGain*(float64(bytes)-mean)
+}
+
+// of returns the mean size of a route's calls in kilobytes.
+func (s *sizes) of(r config.RouteName) float64 {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.mean[r] / 1024
+}
--- /dev/null
+++ b/gate/carry.go
@@ -0,0 +1,322 @@
+package gate
+
+import (
+	"context"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/cassialead/cassialead/exchange"
+	"github.com/cassialead/cassialead/hop"
+	"github.com/cassialead/cassialead/lifecycle"
+)
+
+const (
+	maxBuffered    = 1 << 20                // bytes of an answer read ahead, so that a broken one is never begun
+	orderIdle      = time.Second            // longest idle time of a connection that an order is sent on
+	staleAfter     = 50 * time.Millisecond  // idle time from which a reset of a kept connection may be the target's idle close
+	staleWithin    = 100 * time.Millisecond // such a reset comes at once
+	orderPatience  = 10 * time.Second       // a started order goes on this long after its caller has gone
+	minServiceTime = time.Millisecond       // time left below which no call is started
+)
+
+// Do admits a call and brings it to the target. Cancelling ctx gives up a call that waits or may be repeated; an order
+// that has started goes on.
+func (g *Gate) Do(ctx context.Context, c *hop.Call) hop.Outcome {
+	o := g.do(ctx, c)
+	g.meters.outcome(o)
+	switch o := o.(type) {
+	case hop.Refused:
+		if o.Cause != hop.Busy {
+			g.deps.Log.Info("call refused at the gate", "call", c.ID, "cause", o.Cause, "service", c.Service, "instance", c.Instance,
+				"rank", c.Rank, "running", o.Load.Running, "waiting", o.Load.Waiting, "limit", o.Load.Limit, "expected_wait", o.RetryAfter)
+		}
+	case hop.Failed:
+		g.deps.Log.Info("call failed at the target", "call", c.ID, "cause", o.Cause, "service", c.Service, "instance", c.Instance,
+			"left", c.Deadline.Sub(g.deps.Now()))
+	}
+	return o
+}
+
+func (g *Gate) do(ctx context.Context, c *hop.Call) hop.Outcome {
+	s, refused := g.admit(ctx, c)
+	if refused != nil {
+		return *refused
+	}
+	return g.run(ctx, c, s)
+}
+
+// slot is a held slot of the target.
+type slot struct {
+	g       *Gate
+	since   time.Time
+	waited  time.Duration
+	at      lifecycle.Occupant
+	pool    *exchange.Pool
+	release sync.Once
+}
+
+// end returns the slot; failed says that the target did not do its work.
+func (s *slot) end(telling, failed bool) {
+	s.release.Do(func() {
+		now := s.g.deps.Now()
+		held := now.Sub(s.since)
+		s.g.meters.held(s.waited, held)
+		s.g.mu.Lock()
+		defer s.g.mu.Unlock()
+		if telling {
+			s.g.observe(now, failed)
+		}
+		if !telling || failed {
+			held = 0
+		} else {
+			held = time.Duration(float64(held) / s.g.pace)
+		}
+		s.g.queue.Done(now, held)
+	})
+}
+
+// admit waits for a slot.
+func (g *Gate) admit(ctx context.Context, c *hop.Call) (*slot, *hop.Refused) {
+	now := g.deps.Now()
+	decided := make(chan Decision, 1)
+	t := &Ticket{Rank: c.Rank, Aim: c.Aim, Deadline: c.Deadline, Patience: c.Patience, Decided: func(d Decision) { decided <- d }}
+	g.mu.Lock()
+	if refused := g.turnAway(now, c); refused != nil {
+		g.mu.Unlock()
+		return nil, refused
+	}
+	d := g.queue.Offer(now, t)
+	if _, ok := d.(Queued); ok {
+		g.expireLoop()
+	}
+	g.mu.Unlock()
+	if _, ok := d.(Queued); ok {
+		select {
+		case d = <-decided:
+		case <-ctx.Done():
+			g.mu.Lock()
+			cancelled := g.queue.Cancel(t)
+			g.mu.Unlock()
+			d = Turned{Cause: hop.CallerGone}
+			if !cancelled {
+				d = <-decided
+			}
+		}
+	}
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	switch d := d.(type) {
+	case Admitted:
+		s := &slot{g: g, since: g.deps.Now(), waited: d.Waited, at: g.life.Occupant(), pool: g.pool}
+		if refused := g.turnAwayRun(c, s); refused != nil {
+			g.queue.Done(s.since, 0)
+			return nil, refused
+		}
+		return s, nil
+	case Turned:
+		return nil, &hop.Refused{Cause: d.Cause, RetryAfter: d.Wait, Load: g.load(now, c)}
+	}
+	panic("the queue left a call undecided")
+}
+
+// turnAway refuses calls that can't have a place here; it is called with mu held.
+func (g *Gate) turnAway(now time.Time, c *hop.Call) *hop.Refused {
+	o := g.life.Occupant()
+	cause := hop.Cause("")
+	switch {
+	case g.closed || o.State == lifecycle.Leaving:
+		cause = hop.Closed
+	case o.ID == "" || o.ID != c.Instance || o.Service != c.Service:
+		cause = hop.NotHere
+	case o.State != lifecycle.Open:
+		cause = hop.TargetDown
+	case c.Deadline.Sub(now) < minServiceTime:
+		cause = hop.TooLate
+	default:
+		return nil
+	}
+	return &hop.Refused{Cause: cause, Load: g.load(now, c)}
+}
+
+// turnAwayRun refuses a call whose target has changed while it waited; it is called with mu held.
+func (g *Gate) turnAwayRun(c *hop.Call, s *slot) *hop.Refused {
+	o := s.at
+	switch {
+	case o.State == lifecycle.Open && o.ID == c.Instance && o.Service == c.Service:
+		if s.since.Before(c.Deadline) {
+			return nil
+		}
+		return &hop.Refused{Cause: hop.Expired, Load: g.load(s.since, c)}
+	case o.State == lifecycle.Down:
+		return &hop.Refused{Cause: hop.TargetDown, Load: g.load(s.since, c)}
+	}
+	return &hop.Refused{Cause: hop.Closed, Load: g.load(s.since, c)}
+}
+
+// run brings an admitted call to the target.
+func (g *Gate) run(ctx context.Context, c *hop.Call, s *slot) hop.Outcome {
+	if !c.Repeatable {
+		ctx = context.WithoutCancel(ctx)
+	}
+	deadline := c.Deadline
+	if !c.Repeatable {
+		deadline = deadline.Add(orderPatience)
+	}
+	ctx, cancel := context.WithDeadline(ctx, deadline)
+	most := time.Duration(1<<63 - 1)
+	if !c.Repeatable {
+		most = orderIdle
+	}
+	a, err := g.send(ctx, c, s, s.pool.Take(s.since, most))
+	if err != nil {
+		defer cancel()
+		return g.sendFailed(ctx, c, s, err)
+	}
+	v := g.deps.Dialect.Judge(a.Response)
+	g.note(v.Load)
+	body, more, err := a.ReadWhole(maxBuffered)
+	if err != nil {
+		defer cancel()
+		a.Release(g.deps.Now())
+		return g.sendFailed(ctx, c, s, err)
+	}
+	if more && v.Genuine {
+		return g.stream(c, s, a, body, cancel)
+	}
+	s.pool.Put(a.Release(g.deps.Now()))
+	cancel()
+	return g.judge(c, s, a, v, body)
+}
+
+// send makes the exchange with the target. A kept connection that turns out to be closed before anything was sent, or at
+// once for a call that may be repeated, is replaced by a new one.
+func (g *Gate) send(ctx context.Context, c *hop.Call, s *slot, kept *exchange.Conn) (*exchange.Answer, error) {
+	r := &exchange.Request{Method: c.Method, URI: c.URI, Host: c.Host, Body: c.Body,
+		Match: func(resp *http.Response) exchange.Match {
+			m := g.deps.Dialect.Match(c, resp)
+			if m == exchange.Earlier {
+				g.meters.crossed.Inc()
+				g.deps.Log.Info("answer of an earlier call skipped", "call", c.ID, "instance", s.at.ID, "status", resp.StatusCode)
+			}
+			return m
+		}}
+	if kept != nil {
+		now := g.deps.Now()
+		idle := kept.Idle(now)
+		r.Header = g.deps.Dialect.Headers(c, s.at.ID, c.Deadline.Sub(now))
+		a, err := kept.Do(ctx, r)
+		took := g.deps.Now().Sub(now)
+		dropped := errors.Is(err, exchange.ErrBroken) && took < staleWithin && idle > staleAfter && ctx.Err() == nil
+		if dropped {
+			s.pool.Dropped(now, idle)
+			g.deps.Log.Info("kept connection was dropped by the target", "call", c.ID, "instance", s.at.ID, "idle", idle)
+		}
+		if err == nil || !(errors.Is(err, exchange.ErrNotSent) || dropped && c.Repeatable) {
+			return a, err
+		}
+	}
+	conn, err := exchange.Dial(ctx, string(s.at.Address), connectTimeout)
+	if err != nil {
+		return nil, err
+	}
+	g.meters.connections.Inc()
+	r.Header = g.deps.Dialect.Headers(c, s.at.ID, c.Deadline.Sub(g.deps.Now()))
+	return conn.Do(ctx, r)
+}
+
+// sendFailed judges an exchange without a whole answer.
+func (g *Gate) sendFailed(ctx context.Context, c *hop.Call, s *slot, err error) hop.Outcome {
+	now := g.deps.Now()
+	if ctx.Err() != nil {
+		late := !now.Before(c.Deadline)
+		s.end(late, late)
+		if late {
+			return hop.Failed{Cause: hop.TimedOut, Load: g.loadFor(c)}
+		}
+		if errors.Is(err, exchange.ErrNotSent) {
+			return hop.Refused{Cause: hop.CallerGone, Load: g.loadFor(c)}
+		}
+		return hop.Failed{Cause: hop.CallerGone, Load: g.loadFor(c)}
+	}
+	g.deps.Log.Info("exchange with the target failed", "call", c.ID, "instance", s.at.ID, "error", err)
+	s.end(true, true)
+	switch {
+	case errors.Is(err, exchange.ErrNotSent):
+		g.unreachable(s)
+		return hop.Refused{Cause: hop.TargetDown, Load: g.loadFor(c)}
+	case errors.Is(err, exchange.ErrMalformed):
+		return hop.Failed{Cause: hop.BadAnswer, Load: g.loadFor(c)}
+	}
+	return hop.Failed{Cause: hop.Broken, Load: g.loadFor(c)}
+}
+
+// unreachable notes that the target took no connection.
+func (g *Gate) unreachable(s *slot) {
+	now := g.deps.Now()
+	g.mu.Lock()
+	before := g.life.Occupant()
+	changed := g.life.Fail(s.at.ID)
+	g.settle(before, now)
+	g.mu.Unlock()
+	g.report("no connection", before, changed)
+}
+
+// judge turns a whole answer into an outcome.
+func (g *Gate) judge(c *hop.Call, s *slot, a *exchange.Answer, v Verdict, body []byte) hop.Outcome {
+	switch {
+	case v.OtherTarget:
+		s.end(false, false)
+		g.replaced(s)
+		return hop.Refused{Cause: hop.NotHere, Load: g.loadFor(c)}
+	case v.NotRun:
+		s.end(true, true)
+		return hop.Refused{Cause: hop.TargetShed, RetryAfter: g.loadFor(c).Hold, Load: g.loadFor(c)}
+	case a.StatusCode/100 == 2 && !v.Genuine:
+		s.end(true, true)
+		return hop.Failed{Cause: hop.BadAnswer, Load: g.loadFor(c)}
+	}
+	s.end(true, a.StatusCode >= http.StatusInternalServerError)
+	return &hop.Answered{Status: a.StatusCode, Header: a.Header, Body: body, Length: int64(len(body)), Load: g.loadFor(c), Release: func() {}}
+}
+
+// stream passes on an answer that is too long to be read ahead; its slot is held until it has been read.
+func (g *Gate) stream(c *hop.Call, s *slot, a *exchange.Answer, body []byte, cancel context.CancelFunc) hop.Outcome {
+	return &hop.Answered{Status: a.StatusCode, Header: a.Header, Body: body, Rest: a, Length: a.ContentLength, Load: g.loadFor(c), Release: func() {
+		s.pool.Put(a.Release(g.deps.Now()))
+		cancel()
+		s.end(false, false)
+	}}
+}
+
+// replaced notes that another target answers at the address.
+func (g *Gate) replaced(s *slot) {
+	now := g.deps.Now()
+	g.mu.Lock()
+	before := g.life.Occupant()
+	changed := g.life.Replaced(s.at.ID)
+	g.settle(before, now)
+	g.mu.Unlock()
+	g.report("another target answered", before, changed)
+	g.ask("another target answered")
+}
+
+// note takes what the target says of its load.
+func (g *Gate) note(l TargetLoad) {
+	if l.Slots <= 0 {
+		return
+	}
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if l.Pace > 0 {
+		g.pace = l.Pace
+	}
+}
+
+func (g *Gate) loadFor(c *hop.Call) hop.Load {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.load(g.deps.Now(), c)
+}
--- /dev/null
+++ b/gate/gate.go
@@ -0,0 +1,257 @@
+package gate
+
+import (
+	"context"
+	"log/slog"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+
+	"github.com/cassialead/cassialead/config"
+	"github.com/cassialead/cassialead/exchange"
+	"github.com/cassialead/cassialead/fleet"
+	"github.com/cassialead/cassialead/hop"
+	"github.com/cassialead/cassialead/lifecycle"
+)
+
+const (
+	maxIdle        = 32                     // idle connections kept to the target; slots are fewer as a rule
+	expirePeriod   = 20 * time.Millisecond  // between two looks at calls whose time ends in the queue
+	failureGain    = 0.08                   // weight of one call in the share of failures
+	failureRest    = 2 * time.Second        // after which a target without calls counts as sound again, by half
+	connectTimeout = 400 * time.Millisecond // on the same VM; a silent target takes no connection
+	healthTimeout  = time.Second            // a target answers its health check at once
+)
+
+// Deps are what a gate needs from its surroundings.
+type Deps struct {
+	Dialect Dialect
+	Log     *slog.Logger
+	Metrics *metrics.Set
+	Now     func() time.Time
+	// Changed is called when what the node publishes of its target has changed.
+	Changed func()
+}
+
+// Gate is the way in to the target beside a node; it is safe for concurrent use.
+type Gate struct {
+	deps   Deps
+	meters *meters
+
+	mu       sync.Mutex
+	life     *lifecycle.Life
+	queue    *Queue
+	pool     *exchange.Pool
+	closed   bool // the node leaves
+	health   config.PlanService
+	address  fleet.Address // where the settings expect the target
+	service  config.ServiceName
+	failing  float64
+	failedAt time.Time
+	pace     float64
+	asking   bool
+	expiring bool
+}
+
+// New returns a gate for a target of a service that the settings expect at an address.
+func New(deps Deps, service config.ServiceName, address fleet.Address) *Gate {
+	return &Gate{deps: deps, meters: newMeters(deps.Metrics), life: lifecycle.NewLife(), queue: NewQueue(), pool: exchange.NewPool(maxIdle),
+		service: service, address: address, pace: 1}
+}
+
+// Occupant returns what the gate knows of the target.
+func (g *Gate) Occupant() lifecycle.Occupant {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.life.Occupant()
+}
+
+// Expect takes a change of the settings.
+func (g *Gate) Expect(service config.ServiceName, address fleet.Address) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.service, g.address = service, address
+}
+
+// Configure takes the health path of the target's service from a configuration; a node that knows no target asks then.
+func (g *Gate) Configure(p *config.Plan) {
+	g.mu.Lock()
+	s, ok := p.Services[g.service]
+	first := ok && g.health.Health == ""
+	if ok {
+		g.health = s
+	}
+	ask := first && g.life.Occupant().State == lifecycle.Unknown
+	g.mu.Unlock()
+	if ask {
+		g.ask("start")
+	}
+}
+
+// Hear takes a heartbeat.
+func (g *Gate) Hear(h lifecycle.Heartbeat) {
+	now := g.deps.Now()
+	g.mu.Lock()
+	before := g.life.Occupant()
+	changed, doubt := g.life.Hear(h, now)
+	g.settle(before, now)
+	g.mu.Unlock()
+	g.report("heartbeat", before, changed)
+	if doubt {
+		g.ask("first heartbeat")
+	}
+}
+
+// Depart takes a target's word that it goes; calls are refused from the return on.
+func (g *Gate) Depart(id lifecycle.ID, born lifecycle.Born) {
+	now := g.deps.Now()
+	g.mu.Lock()
+	before := g.life.Occupant()
+	changed := g.life.Depart(id, born)
+	g.settle(before, now)
+	g.mu.Unlock()
+	g.report("departure", before, changed)
+}
+
+// Restore takes what an earlier process of this node has published of its target.
+func (g *Gate) Restore(id lifecycle.ID, born lifecycle.Born, s lifecycle.State) {
+	now := g.deps.Now()
+	g.mu.Lock()
+	before := g.life.Occupant()
+	changed := g.life.Restore(id, born, s)
+	g.settle(before, now)
+	g.mu.Unlock()
+	g.report("own entry", before, changed)
+}
+
+// settle brings queue and connections in line with the occupant; it is called with mu held.
+func (g *Gate) settle(before lifecycle.Occupant, now time.Time) {
+	o := g.life.Occupant()
+	if !o.Same(before.ID, before.Born) || o.Address != before.Address {
+		g.pool.Close()
+		g.pool = exchange.NewPool(maxIdle)
+		g.failing, g.pace = 0, 1
+		g.queue.Clear(hop.NotHere)
+	}
+	if o.State != lifecycle.Open {
+		g.queue.Clear(hop.Closed)
+	}
+	if o.Slots != g.queue.Limit() {
+		g.queue.SetLimit(now, o.Slots)
+	}
+}
+
+func (g *Gate) report(event string, before lifecycle.Occupant, changed bool) {
+	if !changed {
+		return
+	}
+	o := g.Occupant()
+	if o.State != before.State || o.ID != before.ID || o.Born != before.Born {
+		g.deps.Log.Info("target", "by", event, "instance", o.ID, "born", o.Born, "service", o.Service, "state", o.State, "before", before.State,
+			"slots", o.Slots)
+	}
+	g.deps.Changed()
+}
+
+// ask settles by a health check whether the target lives; one check runs at a time.
+func (g *Gate) ask(why string) {
+	g.mu.Lock()
+	path, address := g.health.Health, g.life.Occupant().Address
+	if address == "" {
+		address = g.address
+	}
+	if g.asking || path == "" {
+		g.mu.Unlock()
+		return
+	}
+	g.asking = true
+	g.mu.Unlock()
+	go func() {
+		h, err := g.check(string(address), path)
+		now := g.deps.Now()
+		g.mu.Lock()
+		g.asking = false
+		before := g.life.Occupant()
+		changed := err == nil && g.life.Health(h.ID, h.Healthy, h.Load.Slots, g.service, address)
+		g.settle(before, now)
+		g.mu.Unlock()
+		g.meters.checks.Inc()
+		g.deps.Log.Info("health check", "why", why, "address", address, "instance", h.ID, "healthy", h.Healthy, "error", err)
+		g.report("health check", before, changed)
+	}()
+}
+
+func (g *Gate) check(address, path string) (Health, error) {
+	ctx, cancel := context.WithTimeout(context.Background(), healthTimeout)
+	defer cancel()
+	conn, err := exchange.Dial(ctx, address, connectTimeout)
+	if err != nil {
+		return Health{}, err
+	}
+	a, err := conn.Do(ctx, &exchange.Request{Method: http.MethodGet, URI: path, Host: address,
+		Match: func(*http.Response) exchange.Match { return exchange.Own }})
+	if err != nil {
+		return Health{}, err
+	}
+	h := g.deps.Dialect.ReadHealth(a.Response)
+	if _, _, err := a.ReadWhole(maxBuffered); err != nil {
+		conn.Close()
+		return Health{}, err
+	}
+	g.pool.Put(a.Release(g.deps.Now()))
+	return h, nil
+}
+
+// Close refuses new calls from now on; those that run or wait go on.
+func (g *Gate) Close() {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.closed = true
+}
+
+// Load returns what the gate says of its target to a call.
+func (g *Gate) load(now time.Time, c *hop.Call) hop.Load {
+	o := g.life.Occupant()
+	l := hop.Load{Running: g.queue.Running(), Waiting: g.queue.Waiting(), Limit: g.queue.Limit(),
+		Hold: time.Duration(float64(g.queue.Hold()) * g.pace), Wait: g.queue.Wait(now, c.Rank, c.Aim), Cold: now.Before(o.WarmAt)}
+	l.Failing = int(100 * g.failureShare(now))
+	return l
+}
+
+func (g *Gate) failureShare(now time.Time) float64 {
+	share := g.failing
+	for rest := now.Sub(g.failedAt); rest >= failureRest && share > 0.01; rest -= failureRest {
+		share /= 2
+	}
+	return share
+}
+
+func (g *Gate) observe(now time.Time, failed bool) {
+	g.failing = g.failureShare(now) * (1 - failureGain)
+	if failed {
+		g.failing += failureGain
+	}
+	g.failedAt = now
+}
+
+// expireLoop refuses waiting calls whose time is up, as long as any wait; it is called with mu held.
+func (g *Gate) expireLoop() {
+	if g.expiring {
+		return
+	}
+	g.expiring = true
+	var tick func()
+	tick = func() {
+		g.mu.Lock()
+		defer g.mu.Unlock()
+		g.queue.Expire(g.deps.Now())
+		if g.queue.Waiting() == 0 {
+			g.expiring = false
+			return
+		}
+		time.AfterFunc(expirePeriod, tick)
+	}
+	time.AfterFunc(expirePeriod, tick)
+}
--- /dev/null
+++ b/gate/queue.go
@@ -0,0 +1,190 @@
+package gate
+
+import (
+	"time"
+
+	"github.com/cassialead/cassialead/hop"
+)
+
+const (
+	maxWaitingPerSlot = 12                     // calls waiting for each slot; more could not be served within any deadline
+	holdGain          = 0.1                    // weight of one call in the mean time that a slot is held
+	firstHold         = 100 * time.Millisecond // mean time that a slot is held, before any call has been seen
+)
+
+// Ticket is a call that asks for a slot.
+type Ticket struct {
+	Rank     hop.Rank
+	Aim      time.Time
+	Deadline time.Time
+	Patience hop.Patience
+	// Decided is called once for a ticket that had to wait.
+	Decided func(Decision)
+	arrived time.Time
+}
+
+// Decision is what a queue makes of a ticket: Admitted, Queued or Turned.
+type Decision interface{ decision() }
+
+// Admitted gives the ticket a slot.
+type Admitted struct{ Waited time.Duration }
+
+// Queued keeps the ticket; Decided will be called.
+type Queued struct{}
+
+// Turned refuses the ticket and says when a slot may be free.
+type Turned struct {
+	Cause hop.Cause
+	Wait  time.Duration
+}
+
+func (Admitted) decision() {}
+func (Queued) decision()   {}
+func (Turned) decision()   {}
+
+// Queue gives out a target's slots. Calls go by rank; within a rank those that can still be answered within their aim go
+// before the late ones, and each group goes by time left. It is not safe for concurrent use.
+type Queue struct {
+	limit   int
+	running int
+	waiting []*Ticket
+	hold    time.Duration
+}
+
+// NewQueue returns a queue without slots.
+func NewQueue() *Queue { return &Queue{hold: firstHold} }
+
+// SetLimit sets how many calls may run at the same time and admits those that fit.
+func (q *Queue) SetLimit(now time.Time, n int) {
+	q.limit = n
+	q.fill(now)
+}
+
+// Limit returns how many calls may run at the same time.
+func (q *Queue) Limit() int { return q.limit }
+
+// Running returns how many calls hold a slot.
+func (q *Queue) Running() int { return q.running }
+
+// Waiting returns how many calls wait.
+func (q *Queue) Waiting() int { return len(q.waiting) }
+
+// Hold returns the mean time that a call holds a slot.
+func (q *Queue) Hold() time.Duration { return q.hold }
+
+// Offer decides on a call that has just come.
+func (q *Queue) Offer(now time.Time, t *Ticket) Decision {
+	t.arrived = now
+	if q.running < q.limit && len(q.waiting) == 0 {
+		q.running++
+		return Admitted{}
+	}
+	wait := q.wait(now, t)
+	switch {
+	case t.Patience == hop.Elsewhere:
+		return Turned{hop.Busy, wait}
+	case now.Add(wait + q.hold).After(t.Deadline):
+		return Turned{hop.TooLate, wait}
+	case len(q.waiting) >= maxWaitingPerSlot*max(q.limit, 1):
+		return Turned{hop.QueueFull, wait}
+	}
+	q.waiting = append(q.waiting, t)
+	return Queued{}
+}
+
+// Wait returns the expected wait of a call of a rank with an aim.
+func (q *Queue) Wait(now time.Time, r hop.Rank, aim time.Time) time.Duration {
+	if q.running < q.limit {
+		return 0
+	}
+	return q.wait(now, &Ticket{Rank: r, Aim: aim, arrived: now})
+}
+
+func (q *Queue) wait(now time.Time, t *Ticket) time.Duration {
+	ahead := 1
+	for _, o := range q.waiting {
+		if q.before(now, o, t) {
+			ahead++
+		}
+	}
+	return time.Duration(float64(q.hold) * float64(ahead) / float64(max(q.limit, 1)))
+}
+
+// before reports whether a goes before b.
+func (q *Queue) before(now time.Time, a, b *Ticket) bool {
+	if a.Rank != b.Rank {
+		return a.Rank < b.Rank
+	}
+	done := now.Add(q.hold)
+	if lateA, lateB := done.After(a.Aim), done.After(b.Aim); lateA != lateB {
+		return lateB
+	}
+	if !a.Aim.Equal(b.Aim) {
+		return a.Aim.Before(b.Aim)
+	}
+	return a.arrived.Before(b.arrived)
+}
+
+// Done returns a slot that was held for a time; zero says that the time tells nothing of the target.
+func (q *Queue) Done(now time.Time, held time.Duration) {
+	q.running--
+	if held > 0 {
+		q.hold += time.Duration(holdGain * float64(held-q.hold))
+	}
+	q.fill(now)
+}
+
+// Cancel takes a waiting ticket back; it reports false for one that has been decided.
+func (q *Queue) Cancel(t *Ticket) bool {
+	for i, o := range q.waiting {
+		if o == t {
+			q.remove(i)
+			return true
+		}
+	}
+	return false
+}
+
+// Clear turns all waiting tickets away.
+func (q *Queue) Clear(c hop.Cause) {
+	for _, t := range q.waiting {
+		t.Decided(Turned{Cause: c})
+	}
+	q.waiting = nil
+}
+
+func (q *Queue) remove(i int) { q.waiting = append(q.waiting[:i], q.waiting[i+1:]...) }
+
+// fill admits waiting calls while slots are free and refuses those whose time is up.
+func (q *Queue) fill(now time.Time) {
+	for q.running < q.limit && len(q.waiting) > 0 {
+		best := 0
+		for i := 1; i < len(q.waiting); i++ {
+			if q.before(now, q.waiting[i], q.waiting[best]) {
+				best = i
+			}
+		}
+		t := q.waiting[best]
+		q.remove(best)
+		if !now.Before(t.Deadline) {
+			t.Decided(Turned{Cause: hop.Expired})
+			continue
+		}
+		q.running++
+		t.Decided(Admitted{now.Sub(t.arrived)})
+	}
+}
+
+// Expire refuses the waiting calls that can't be answered in time any more.
+func (q *Queue) Expire(now time.Time) {
+	kept := q.waiting[:0]
+	for _, t := range q.waiting {
+		if now.Add(q.hold / 2).Before(t.Deadline) {
+			kept = append(kept, t)
+			continue
+		}
+		t.Decided(Turned{Cause: hop.Expired})
+	}
+	clear(q.waiting[len(kept):])
+	q.waiting = kept
+}
--- /dev/null
+++ b/member/view.go
@@ -0,0 +1,158 @@
+package member
+
+import (
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/cassialead/cassialead/fleet"
+)
+
+// UnlistedGrace is how long a member that vanished from the store without a word is kept unless it answers itself;
+// the platform puts lapsed entries back within two seconds of the store's return.
+const UnlistedGrace = 2500 * time.Millisecond
+
+// Member is a node as this one knows it.
+type Member struct {
+	Record
+	// Unlisted says that the store no longer lists the node although it did not say that it leaves.
+	Unlisted bool
+	Since    time.Time // when the newest record came
+	checked  time.Time // when an unlisted member was last known to live
+}
+
+// View is the set of members known; it is not safe for concurrent use.
+type View struct {
+	members map[fleet.NodeID]*Member
+	gone    map[fleet.NodeID]Record // last records of members that left, against late news of them
+}
+
+// NewView returns an empty view.
+func NewView() *View {
+	return &View{members: map[fleet.NodeID]*Member{}, gone: map[fleet.NodeID]Record{}}
+}
+
+// Change says what happened to a member.
+type Change struct {
+	Record Record
+	Kind   ChangeKind
+}
+
+// ChangeKind names a change of a member.
+type ChangeKind string
+
+// The changes of a member.
+const (
+	Seen     ChangeKind = "seen"
+	Updated  ChangeKind = "updated"
+	Unlisted ChangeKind = "unlisted"
+	Regained ChangeKind = "regained"
+	Lost     ChangeKind = "lost"
+	Left     ChangeKind = "left"
+)
+
+// Merge takes a record; listed says that it comes from the store. It returns no change for what is known or older.
+func (v *View) Merge(r Record, listed bool, now time.Time) []Change {
+	if last, ok := v.gone[r.Node]; ok {
+		if r.Compare(last) <= 0 {
+			return nil
+		}
+		delete(v.gone, r.Node)
+	}
+	m := v.members[r.Node]
+	if m == nil {
+		v.members[r.Node] = &Member{Record: r, Unlisted: !listed, Since: now, checked: now}
+		return []Change{{r, Seen}}
+	}
+	var changes []Change
+	order := r.Compare(m.Record)
+	if order > 0 {
+		m.Record, m.Since, m.checked = r, now, now
+		changes = append(changes, Change{r, Updated})
+	}
+	if listed && m.Unlisted && order >= 0 {
+		m.Unlisted = false
+		changes = append(changes, Change{m.Record, Regained})
+	}
+	return changes
+}
+
+// Replace takes the whole list of the store: members that it does not name are unlisted.
+func (v *View) Replace(listed []Record, now time.Time) []Change {
+	var changes []Change
+	named := map[fleet.NodeID]bool{}
+	for _, r := range listed {
+		named[r.Node] = true
+		changes = append(changes, v.Merge(r, true, now)...)
+	}
+	for _, m := range v.sorted() {
+		if !named[m.Node] {
+			changes = append(changes, v.Unlist(m.Node, now)...)
+		}
+	}
+	return changes
+}
+
+// Unlist notes that the store no longer lists a node. One that said it leaves is removed; another may only have lost
+// its entry, and is kept for UnlistedGrace unless it answers.
+func (v *View) Unlist(n fleet.NodeID, now time.Time) []Change {
+	m := v.members[n]
+	switch {
+	case m == nil || m.Unlisted:
+		return nil
+	case m.Leaving:
+		return v.remove(m, Left)
+	}
+	m.Unlisted, m.checked = true, now
+	return []Change{{m.Record, Unlisted}}
+}
+
+// Confirm notes that a member of that incarnation has answered.
+func (v *View) Confirm(n fleet.NodeID, i fleet.Incarnation, now time.Time) {
+	if m := v.members[n]; m != nil && m.Incarnation == i {
+		m.checked = now
+	}
+}
+
+// Expire removes unlisted members that did not answer in time.
+func (v *View) Expire(now time.Time) []Change {
+	var changes []Change
+	for _, m := range v.sorted() {
+		if m.Unlisted && now.Sub(m.checked) >= UnlistedGrace {
+			changes = append(changes, v.remove(m, Lost)...)
+		}
+	}
+	return changes
+}
+
+func (v *View) remove(m *Member, kind ChangeKind) []Change {
+	delete(v.members, m.Node)
+	v.gone[m.Node] = m.Record
+	return []Change{{m.Record, kind}}
+}
+
+// Members returns copies of all members, ordered by name.
+func (v *View) Members() []Member {
+	ms := make([]Member, 0, len(v.members))
+	for _, m := range v.sorted() {
+		ms = append(ms, *m)
+	}
+	return ms
+}
+
+// Get returns a member.
+func (v *View) Get(n fleet.NodeID) (Member, bool) {
+	if m := v.members[n]; m != nil {
+		return *m, true
+	}
+	return Member{}, false
+}
+
+func (v *View) sorted() []*Member {
+	ms := make([]*Member, 0, len(v.members))
+	for _, m := range v.members {
+		ms = append(ms, m)
+	}
+	slices.SortFunc(ms, func(a, b *Member) int { return strings.Compare(string(a.Node), string(b.Node)) })
+	return ms
+}
