gate: order calls by whether they can still be in time, nested ones first

Change: nested calls (id of a call that the target here works on, then a dot) go first; a call that can't make its aim by 1.5 times its route's mean hold is late, goes behind and waits 250 ms at most; elapsed time of a caller's repeat is learnt from the longest wait of its route.

--- a/agent/agent.go
+++ b/agent/agent.go
@@ -161,8 +161,6 @@
 	go a.follow(work, reload)
 	<-ctx.Done()
 	a.drain(cfg)
-	a.registrar.leave()
-	stop()
 	a.deps.Log.Info("stopped", "in_flight", a.inflight.count())
 	return nil
 }
@@ -183,31 +181,32 @@
 
 const (
 	settleTime = 3 * time.Second        // two readiness checks a second apart, and one on its way
-	exitMargin = 250 * time.Millisecond // before the process is killed
-	drainPoll  = 50 * time.Millisecond
+	exitMargin = 300 * time.Millisecond // before the process is killed
+	drainPoll  = 20 * time.Millisecond
 )
 
-// drain lets callers and nodes move away and waits for the calls in flight.
+// drain refuses calls of other nodes at once, takes requests of callers until they have moved away, and waits for the
+// requests in flight.
 func (a *Agent) drain(cfg *settings.Agent) {
 	a.deps.Log.Info("stopping", "in_flight", a.inflight.count())
-	started := a.deps.Now()
+	ctx, cancel := context.WithTimeout(context.Background(), cfg.Grace-exitMargin)
+	defer cancel()
 	a.stopping.Store(true)
 	a.gate.Close()
 	a.targetChanged()
-	for {
-		passed := a.deps.Now().Sub(started)
-		if passed >= cfg.Grace-exitMargin || passed >= settleTime && a.inflight.count() == 0 {
-			break
-		}
-		time.Sleep(drainPoll)
-	}
+	sleep(ctx, settleTime)
+	go a.registrar.leave()
 	for _, s := range a.servers {
-		if a.inflight.count() == 0 {
-			ctx, cancel := context.WithTimeout(context.Background(), exitMargin/4)
-			_ = s.Shutdown(ctx) // what is left after this is cut when the process ends
-			cancel()
-		}
+		go func() {
+			if err := s.Shutdown(ctx); err != nil {
+				a.deps.Log.Info("requests left at the end", "error", err)
+			}
+		}()
+	}
+	for ctx.Err() == nil && a.inflight.count() > 0 {
+		sleep(ctx, drainPoll)
 	}
+	sleep(ctx, drainPoll) // the last answers leave
 }
 
 // listen opens the node's sockets.
--- a/agent/registrar.go
+++ b/agent/registrar.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"math/rand/v2"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -18,7 +19,7 @@
 const (
 	leaseTime  = 12 * time.Second // of a node's entry; other nodes find out about its death by their own calls long before
 	leaseRenew = 4 * time.Second
-	leaveWait  = 300 * time.Millisecond // for the end of the lease when the process ends
+	leaveWait  = time.Second // for the end of the lease when the process ends
 )
 
 // registrar keeps the node's entry in the store.
@@ -33,6 +34,7 @@
 	wake     chan struct{}
 	gone     chan struct{}
 	lease    store.LeaseNumber
+	held     atomic.Uint64 // the lease, for leave
 	renewAt  time.Time
 	revision store.Revision
 	known    bool // revision is the entry's own
@@ -185,6 +187,7 @@
 			return err
 		}
 		r.lease, r.renewAt = lease, now.Add(min(leaseRenew, ttl/3))
+		r.held.Store(uint64(lease))
 	}
 	return r.write(ctx)
 }
@@ -254,10 +257,11 @@
 func (r *registrar) leave() {
 	ctx, cancel := context.WithTimeout(context.Background(), leaveWait)
 	defer cancel()
-	if r.lease == 0 {
+	lease := store.LeaseNumber(r.held.Load())
+	if lease == 0 {
 		return
 	}
-	if err := r.a.deps.Store.End(ctx, r.lease); err != nil {
+	if err := r.a.deps.Store.End(ctx, lease); err != nil {
 		r.a.deps.Log.Info("lease not ended", "error", err)
 	}
 }
--- a/dispatch/dispatch.go
+++ b/dispatch/dispatch.go
@@ -26,6 +26,8 @@
 type Local interface {
 	// Do admits a call and brings it to the target.
 	Do(ctx context.Context, c *hop.Call) hop.Outcome
+	// Runs reports whether the target works on a call.
+	Runs(id hop.CallID) bool
 }
 
 // Deps are what a dispatcher needs from its surroundings.
@@ -42,6 +44,7 @@
 // Request is a caller's request.
 type Request struct {
 	ID     hop.CallID
+	Parent hop.CallID // the call that this one may be made for, or nothing
 	Method string
 	URI    string
 	Host   string
@@ -59,6 +62,7 @@
 	plan   atomic.Pointer[config.Plan]
 	parts  shares
 	sizes  sizes
+	waits  waits
 }
 
 // New returns a dispatcher without a configuration.
@@ -121,11 +125,16 @@
 	}
 	t := &trip{d: d, in: in, plan: plan, rule: rule, rng: rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))}
 	t.call = hop.Call{ID: in.ID, Method: in.Method, URI: in.URI, Host: in.Host, Header: in.Header, Body: in.Body, Route: rule.Name,
-		Service: d.parts.part(rule), Origin: in.Origin, Rank: rank(rule), Repeatable: rule.Repeatable(),
-		Aim: in.Came.Add(rule.Aim), Deadline: in.Came.Add(wait - answerMargin)}
+		Service: d.parts.part(rule), Origin: in.Origin, Rank: d.rank(in, rule), Repeatable: rule.Repeatable(),
+		Aim: in.Came.Add(rule.Aim - d.waits.elapsed(rule.Name, in.Left, in.Came)), Deadline: in.Came.Add(wait - answerMargin)}
 	d.deps.Budget.Earn(t.call.Service, in.Came)
 	return t
 }
 
-// rank returns the rank of a rule's calls at a gate.
-func rank(r *config.Rule) hop.Rank { return hop.Rank(r.Priority) }
+// rank returns the rank of a call at a gate: a call that the target on this VM makes for one it works on goes first.
+func (d *Dispatcher) rank(in *Request, r *config.Rule) hop.Rank {
+	if in.Parent != "" && d.deps.Local.Runs(in.Parent) {
+		return hop.RankNested
+	}
+	return hop.Rank(r.Priority)
+}
--- a/gate/carry.go
+++ b/gate/carry.go
@@ -3,11 +3,13 @@
 import (
 	"context"
 	"net/http"
+	"os"
 	"sync"
 	"time"
 
 	"github.com/cockroachdb/errors"
 
+	"github.com/cassialead/cassialead/config"
 	"github.com/cassialead/cassialead/exchange"
 	"github.com/cassialead/cassialead/hop"
 	"github.com/cassialead/cassialead/lifecycle"
@@ -48,9 +50,27 @@
 	return g.run(ctx, c, s)
 }
 
+// ticket returns a call's ticket for the queue. The answer to a nested call is of full use as long as its parent waits.
+func ticket(c *hop.Call) *Ticket {
+	t := &Ticket{Route: c.Route, Rank: c.Rank, Aim: c.Aim, Deadline: c.Deadline, Patience: c.Patience}
+	if c.Rank == hop.RankNested {
+		t.Aim = c.Deadline
+	}
+	return t
+}
+
+// Runs reports whether the target works on a call.
+func (g *Gate) Runs(id hop.CallID) bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.running[id] > 0
+}
+
 // slot is a held slot of the target.
 type slot struct {
 	g       *Gate
+	call    hop.CallID
+	route   config.RouteName
 	since   time.Time
 	waited  time.Duration
 	at      lifecycle.Occupant
@@ -74,15 +94,24 @@
 		} else {
 			held = time.Duration(float64(held) / s.g.pace)
 		}
-		s.g.queue.Done(now, held)
+		s.g.forget(s.call)
+		s.g.queue.Done(now, s.route, held)
 	})
 }
 
+// forget notes that the target has ended its work on a call; it is called with mu held.
+func (g *Gate) forget(id hop.CallID) {
+	if g.running[id]--; g.running[id] <= 0 {
+		delete(g.running, id)
+	}
+}
+
 // admit waits for a slot.
 func (g *Gate) admit(ctx context.Context, c *hop.Call) (*slot, *hop.Refused) {
 	now := g.deps.Now()
 	decided := make(chan Decision, 1)
-	t := &Ticket{Rank: c.Rank, Aim: c.Aim, Deadline: c.Deadline, Patience: c.Patience, Decided: func(d Decision) { decided <- d }}
+	t := ticket(c)
+	t.Decided = func(d Decision) { decided <- d }
 	g.mu.Lock()
 	if refused := g.turnAway(now, c); refused != nil {
 		g.mu.Unlock()
@@ -110,11 +139,12 @@
 	defer g.mu.Unlock()
 	switch d := d.(type) {
 	case Admitted:
-		s := &slot{g: g, since: g.deps.Now(), waited: d.Waited, at: g.life.Occupant(), pool: g.pool}
+		s := &slot{g: g, call: c.ID, route: c.Route, since: g.deps.Now(), waited: d.Waited, at: g.life.Occupant(), pool: g.pool}
 		if refused := g.turnAwayRun(c, s); refused != nil {
-			g.queue.Done(s.since, 0)
+			g.queue.Done(s.since, c.Route, 0)
 			return nil, refused
 		}
+		g.running[c.ID]++
 		return s, nil
 	case Turned:
 		return nil, &hop.Refused{Cause: d.Cause, RetryAfter: d.Wait, Load: g.load(now, c)}
@@ -230,8 +260,8 @@
 // sendFailed judges an exchange without a whole answer.
 func (g *Gate) sendFailed(ctx context.Context, c *hop.Call, s *slot, err error) hop.Outcome {
 	now := g.deps.Now()
-	if ctx.Err() != nil {
-		late := !now.Before(c.Deadline)
+	if ctx.Err() != nil || errors.Is(err, os.ErrDeadlineExceeded) {
+		late := !now.Before(c.Deadline) || errors.Is(err, os.ErrDeadlineExceeded) && ctx.Err() == nil
 		s.end(late, late)
 		if late {
 			return hop.Failed{Cause: hop.TimedOut, Load: g.loadFor(c)}
--- a/gate/gate.go
+++ b/gate/gate.go
@@ -51,6 +51,7 @@
 	failing  float64
 	failedAt time.Time
 	pace     float64
+	running  map[hop.CallID]int // calls that the target works on
 	asking   bool
 	expiring bool
 }
@@ -58,7 +59,7 @@
 // New returns a gate for a target of a service that the settings expect at an address.
 func New(deps Deps, service config.ServiceName, address fleet.Address) *Gate {
 	return &Gate{deps: deps, meters: newMeters(deps.Metrics), life: lifecycle.NewLife(), queue: NewQueue(), pool: exchange.NewPool(maxIdle),
-		service: service, address: address, pace: 1}
+		service: service, address: address, pace: 1, running: map[hop.CallID]int{}}
 }
 
 // Occupant returns what the gate knows of the target.
@@ -215,7 +216,7 @@
 func (g *Gate) load(now time.Time, c *hop.Call) hop.Load {
 	o := g.life.Occupant()
 	l := hop.Load{Running: g.queue.Running(), Waiting: g.queue.Waiting(), Limit: g.queue.Limit(),
-		Hold: time.Duration(float64(g.queue.Hold()) * g.pace), Wait: g.queue.Wait(now, c.Rank, c.Aim), Cold: now.Before(o.WarmAt)}
+		Hold: time.Duration(float64(g.queue.Hold()) * g.pace), Wait: g.queue.Wait(now, ticket(c)), Cold: now.Before(o.WarmAt)}
 	l.Failing = int(100 * g.failureShare(now))
 	return l
 }
--- a/gate/queue.go
+++ b/gate/queue.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"github.com/cassialead/cassialead/config"
 	"github.com/cassialead/cassialead/hop"
 )
 
@@ -10,10 +11,13 @@
 	maxWaitingPerSlot = 12                     // calls waiting for each slot; more could not be served within any deadline
 	holdGain          = 0.1                    // weight of one call in the mean time that a slot is held
 	firstHold         = 100 * time.Millisecond // mean time that a slot is held, before any call has been seen
+	holdMargin        = 1.5                    // of the mean hold: four in five calls end within it
+	lateWait          = 250 * time.Millisecond // longest wait of a call that is late already; it only fills gaps
 )
 
 // Ticket is a call that asks for a slot.
 type Ticket struct {
+	Route    config.RouteName
 	Rank     hop.Rank
 	Aim      time.Time
 	Deadline time.Time
@@ -43,16 +47,20 @@
 func (Turned) decision()   {}
 
 // Queue gives out a target's slots. Calls go by rank; within a rank those that can still be answered within their aim go
-// before the late ones, and each group goes by time left. It is not safe for concurrent use.
+// before the late ones, and each group goes by time left. A late call is worth less than one in time, so it waits only a
+// short while for a gap and is refused otherwise. It is not safe for concurrent use.
 type Queue struct {
 	limit   int
 	running int
 	waiting []*Ticket
 	hold    time.Duration
+	holds   map[config.RouteName]time.Duration
 }
 
 // NewQueue returns a queue without slots.
-func NewQueue() *Queue { return &Queue{hold: firstHold} }
+func NewQueue() *Queue {
+	return &Queue{hold: firstHold, holds: map[config.RouteName]time.Duration{}}
+}
 
 // SetLimit sets how many calls may run at the same time and admits those that fit.
 func (q *Queue) SetLimit(now time.Time, n int) {
@@ -83,21 +91,22 @@
 	switch {
 	case t.Patience == hop.Elsewhere:
 		return Turned{hop.Busy, wait}
-	case now.Add(wait + q.hold).After(t.Deadline):
-		return Turned{hop.TooLate, wait}
 	case len(q.waiting) >= maxWaitingPerSlot*max(q.limit, 1):
 		return Turned{hop.QueueFull, wait}
+	case q.late(now.Add(wait), t) && wait > lateWait, now.Add(wait + q.holdOf(t.Route)).After(t.Deadline):
+		return Turned{hop.TooLate, wait}
 	}
 	q.waiting = append(q.waiting, t)
 	return Queued{}
 }
 
-// Wait returns the expected wait of a call of a rank with an aim.
-func (q *Queue) Wait(now time.Time, r hop.Rank, aim time.Time) time.Duration {
+// Wait returns the expected wait of a call.
+func (q *Queue) Wait(now time.Time, t *Ticket) time.Duration {
 	if q.running < q.limit {
 		return 0
 	}
-	return q.wait(now, &Ticket{Rank: r, Aim: aim, arrived: now})
+	t.arrived = now
+	return q.wait(now, t)
 }
 
 func (q *Queue) wait(now time.Time, t *Ticket) time.Duration {
@@ -110,13 +119,24 @@
 	return time.Duration(float64(q.hold) * float64(ahead) / float64(max(q.limit, 1)))
 }
 
+func (q *Queue) holdOf(r config.RouteName) time.Duration {
+	if h, ok := q.holds[r]; ok {
+		return h
+	}
+	return q.hold
+}
+
+// late reports whether a ticket that starts at a time will hardly be answered within its aim.
+func (q *Queue) late(start time.Time, t *Ticket) bool {
+	return start.Add(time.Duration(holdMargin * float64(q.holdOf(t.Route)))).After(t.Aim)
+}
+
 // before reports whether a goes before b.
 func (q *Queue) before(now time.Time, a, b *Ticket) bool {
 	if a.Rank != b.Rank {
 		return a.Rank < b.Rank
 	}
-	done := now.Add(q.hold)
-	if lateA, lateB := done.After(a.Aim), done.After(b.Aim); lateA != lateB {
+	if lateA, lateB := q.late(now, a), q.late(now, b); lateA != lateB {
 		return lateB
 	}
 	if !a.Aim.Equal(b.Aim) {
@@ -125,11 +145,16 @@
 	return a.arrived.Before(b.arrived)
 }
 
-// Done returns a slot that was held for a time; zero says that the time tells nothing of the target.
-func (q *Queue) Done(now time.Time, held time.Duration) {
+// Done returns a slot that a call of a route held for a time; zero says that the time tells nothing of the target.
+func (q *Queue) Done(now time.Time, r config.RouteName, held time.Duration) {
 	q.running--
 	if held > 0 {
 		q.hold += time.Duration(holdGain * float64(held-q.hold))
+		h, ok := q.holds[r]
+		if !ok {
+			h = held
+		}
+		q.holds[r] = h + time.Duration(holdGain*float64(held-h))
 	}
 	q.fill(now)
 }
@@ -175,15 +200,18 @@
 	}
 }
 
-// Expire refuses the waiting calls that can't be answered in time any more.
+// Expire refuses the waiting calls that can't be answered in time any more, and the late ones that found no gap.
 func (q *Queue) Expire(now time.Time) {
 	kept := q.waiting[:0]
 	for _, t := range q.waiting {
-		if now.Add(q.hold / 2).Before(t.Deadline) {
+		switch {
+		case !now.Add(q.holdOf(t.Route) / 2).Before(t.Deadline):
+			t.Decided(Turned{Cause: hop.Expired, Wait: q.hold})
+		case q.late(now, t) && now.Sub(t.arrived) > lateWait:
+			t.Decided(Turned{Cause: hop.TooLate, Wait: q.hold})
+		default:
 			kept = append(kept, t)
-			continue
 		}
-		t.Decided(Turned{Cause: hop.Expired})
 	}
 	clear(q.waiting[len(kept):])
 	q.waiting = kept
--- a/hop/line.go
+++ b/hop/line.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net/http"
+	"os"
 	"sync"
 	"time"
 
@@ -161,7 +162,7 @@
 		return Failed{Cause: Silent}
 	case ctx.Err() != nil && notSent:
 		return Refused{Cause: Expired}
-	case ctx.Err() != nil && !l.now().Before(c.Deadline):
+	case errors.Is(ctx.Err(), context.DeadlineExceeded), ctx.Err() == nil && errors.Is(err, os.ErrDeadlineExceeded):
 		return Failed{Cause: TimedOut}
 	case ctx.Err() != nil:
 		return Failed{Cause: CallerGone}
