--- a/agent/agent.go
+++ b/agent/agent.go
@@ -44,20 +44,25 @@
 	registrar  *registrar
 	peers      *http.Client
 
-	mu      sync.Mutex // guards view, rawPlan
+	mu      sync.Mutex // guards what follows up to avoided
 	view    *member.View
 	rawPlan json.RawMessage
+	packed  []byte        // rawPlan as children get it; nil until one asks
+	changed chan struct{} // closed at the next change of view or rawPlan
+	avoided map[fleet.NodeID]time.Time
 
-	loaded   atomic.Bool // the list of members has been read
-	stopping atomic.Bool
-	storeOK  atomic.Bool
-	inflight inflight
-	servers  []*http.Server
+	loaded    atomic.Bool // the list of members has been read
+	stopping  atomic.Bool
+	ownStore  atomic.Bool   // the store answers, here or at a head that this node follows
+	sideStore atomic.Bool   // the store answers at the other head
+	revision  atomic.Uint64 // the store's revision up to which this node has heard everything
+	inflight  inflight
+	servers   []*http.Server
 }
 
 // New returns an agent with its settings; Run opens its sockets.
 func New(cfg settings.Agent, deps Deps) *Agent {
-	a := &Agent{deps: deps, view: member.NewView(), lines: hop.NewLines(deps.Now)}
+	a := &Agent{deps: deps, view: member.NewView(), changed: make(chan struct{}), avoided: map[fleet.NodeID]time.Time{}, lines: hop.NewLines(deps.Now)}
 	a.cfg.Store(&cfg)
 	a.board = dispatch.NewBoard(dispatch.Place{Node: cfg.VM, DataCentre: cfg.DataCentre, Region: cfg.Region})
 	a.budget = dispatch.NewBudget(dispatch.RepeatBounds{Ratio: cfg.RepeatRatio, Slack: cfg.RepeatSlack, Window: cfg.RepeatWindow})
@@ -117,6 +122,7 @@
 			a.lines.Forget(r.Address)
 		}
 	}
+	a.announce()
 	members := a.view.Members()
 	a.board.Publish(members)
 	a.budget.SetNodes(len(members))
@@ -132,7 +138,8 @@
 	a.mu.Lock()
 	newer := a.dispatcher.Publish(p)
 	if newer {
-		a.rawPlan = raw
+		a.rawPlan, a.packed = raw, nil
+		a.announce()
 	}
 	a.mu.Unlock()
 	if newer {
@@ -158,15 +165,16 @@
 	go a.feed(work)
 	go a.registrar.run(work)
 	go a.probe(work)
-	go a.follow(work, reload)
+	go a.reload(work, reload)
+	go a.exchangeNews(work)
 	<-ctx.Done()
 	a.drain(cfg)
 	a.deps.Log.Info("stopped", "in_flight", a.inflight.count())
 	return nil
 }
 
-// follow takes changes of the settings.
-func (a *Agent) follow(ctx context.Context, reload <-chan settings.Agent) {
+// reload takes changes of the settings.
+func (a *Agent) reload(ctx context.Context, reload <-chan settings.Agent) {
 	for {
 		select {
 		case cfg := <-reload:
--- a/agent/feed.go
+++ b/agent/feed.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 	"math/rand/v2"
+	"sync/atomic"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -14,53 +15,78 @@
 )
 
 const (
-	watchWait   = 25 * time.Second       // of one watch; each one is priced
+	watchWait   = time.Second            // of one watch; a watch that hears nothing any more is replaced soon
 	watchPace   = 250 * time.Millisecond // between two watches, so that a storm of changes costs few calls
 	firstPause  = 200 * time.Millisecond // after the store failed
 	longestStop = time.Second            // between two tries; entries are to be back within two seconds of the store's return
 )
 
-// feed follows the configuration and the members in the store.
+// feed follows the configuration and the members: from a parent, or from the store at the heads of a region and where no
+// parent can be used. A node that loses its parent asks the store at once for what it may have missed.
 func (a *Agent) feed(ctx context.Context) {
 	pause := firstPause
-	var after store.Revision
-	read := false
 	for ctx.Err() == nil {
-		var err error
-		if !read {
-			after, err = a.readAll(ctx)
-			read = err == nil
-		} else {
-			after, err = a.readChanges(ctx, after)
+		if parent := a.place().Parent; parent != nil && a.loaded.Load() && a.follow(ctx, *parent) {
+			continue
 		}
+		wait := watchWait
+		if a.place().Parent != nil {
+			wait = 0
+		}
+		err := a.readStore(ctx, wait)
 		switch {
 		case ctx.Err() != nil:
 			return
-		case errors.Is(err, store.ErrCompacted):
-			a.deps.Log.Info("store history compacted", "after", after)
-			read = false
 		case err != nil:
-			a.storeState(false, err)
+			a.storeState(&a.ownStore, false, err)
 			sleep(ctx, pause/2+rand.N(pause))
 			pause = min(2*pause, longestStop)
 		default:
-			a.storeState(true, nil)
+			a.storeState(&a.ownStore, true, nil)
 			pause = firstPause
-			sleep(ctx, watchPace)
+			if wait > 0 {
+				sleep(ctx, watchPace)
+			}
 		}
 	}
 }
 
-// storeState logs when the store is lost or regained.
-func (a *Agent) storeState(ok bool, err error) {
-	if a.storeOK.Swap(ok) == ok {
-		return
-	}
-	if ok {
+// inTouch reports whether the store answers this node, or a head that this node hears from.
+func (a *Agent) inTouch() bool { return a.ownStore.Load() || a.sideStore.Load() }
+
+// storeState notes whether the store answers and logs when it is lost or regained.
+func (a *Agent) storeState(state *atomic.Bool, ok bool, err error) {
+	before := a.inTouch()
+	state.Store(ok)
+	switch after := a.inTouch(); {
+	case after && !before:
 		a.deps.Log.Info("store answers")
-		return
+	case before && !after:
+		a.deps.Log.Warn("store lost", "error", err)
+	}
+}
+
+// readStore reads everything, or waits for what comes after the revision that this node has heard of.
+func (a *Agent) readStore(ctx context.Context, wait time.Duration) error {
+	after := store.Revision(a.revision.Load())
+	if after == 0 {
+		asOf, err := a.readAll(ctx)
+		if err == nil {
+			a.revision.Store(uint64(asOf))
+		}
+		return err
+	}
+	asOf, err := a.readChanges(ctx, after, wait)
+	switch {
+	case errors.Is(err, store.ErrCompacted):
+		a.deps.Log.Info("store history compacted", "after", after)
+		a.revision.Store(0)
+		return nil
+	case err != nil:
+		return err
 	}
-	a.deps.Log.Warn("store lost", "error", err)
+	a.revision.Store(uint64(asOf))
+	return nil
 }
 
 func (a *Agent) readAll(ctx context.Context) (store.Revision, error) {
@@ -93,8 +119,8 @@
 	return append(records, a.registrar.current())
 }
 
-func (a *Agent) readChanges(ctx context.Context, after store.Revision) (store.Revision, error) {
-	items, asOf, err := a.deps.Store.Changes(ctx, platform.WatchPrefix, after, watchWait)
+func (a *Agent) readChanges(ctx context.Context, after store.Revision, wait time.Duration) (store.Revision, error) {
+	items, asOf, err := a.deps.Store.Changes(ctx, platform.WatchPrefix, after, wait)
 	if err != nil {
 		return after, err
 	}
--- a/agent/peer.go
+++ b/agent/peer.go
@@ -14,6 +14,7 @@
 	"github.com/cockroachdb/errors"
 
 	"github.com/cassialead/cassialead/config"
+	"github.com/cassialead/cassialead/feed"
 	"github.com/cassialead/cassialead/fleet"
 	"github.com/cassialead/cassialead/hop"
 	"github.com/cassialead/cassialead/member"
@@ -38,6 +39,9 @@
 	case viewPath:
 		a.serveView(w, r)
 		return
+	case feed.Path:
+		a.serveChild(w, r)
+		return
 	}
 	a.inflight.enter()
 	defer a.inflight.leave()
@@ -171,7 +175,7 @@
 				go a.ping(ctx, m)
 			}
 		}
-		if !a.storeOK.Load() && now.Sub(lastNews) >= askPeriod {
+		if !a.inTouch() && now.Sub(lastNews) >= askPeriod {
 			lastNews = now
 			go a.askNews(ctx, members)
 		}
--- a/agent/registrar.go
+++ b/agent/registrar.go
@@ -26,10 +26,11 @@
 type registrar struct {
 	a *Agent
 
-	mu      sync.Mutex // guards record, stored, waiters
-	record  member.Record
-	stored  fleet.Sequence // the newest sequence that the store has acknowledged
-	waiters []chan struct{}
+	mu       sync.Mutex // guards record, stored, waiters
+	record   member.Record
+	stored   fleet.Sequence // the newest sequence that the store has acknowledged
+	storedAt time.Time      // when it did
+	waiters  []chan struct{}
 
 	wake     chan struct{}
 	gone     chan struct{}
@@ -66,8 +67,17 @@
 	return next
 }
 
+// freshEntry is the time after a write in which news that do not name the node may still be older than it.
+const freshEntry = 1500 * time.Millisecond
+
 // lost notes that the store does not list the node any more.
 func (r *registrar) lost() {
+	r.mu.Lock()
+	fresh := r.a.deps.Now().Sub(r.storedAt) < freshEntry
+	r.mu.Unlock()
+	if fresh {
+		return
+	}
 	signal(r.gone)
 	signal(r.wake)
 }
@@ -243,7 +253,7 @@
 func (r *registrar) acknowledge(s fleet.Sequence) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	r.stored = max(r.stored, s)
+	r.stored, r.storedAt = max(r.stored, s), r.a.deps.Now()
 	if r.stored < r.record.Sequence {
 		return
 	}
--- /dev/null
+++ b/member/tree.go
@@ -0,0 +1,73 @@
+package member
+
+import (
+	"cmp"
+	"slices"
+
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/cassialead/cassialead/fleet"
+)
+
+// FanOut is how many children a node has within its data centre at most.
+const FanOut = 24
+
+// Place is a node's place in the tree by which news spread within a region.
+type Place struct {
+	// Parent is the node to follow; it is nil for a head.
+	Parent *Member
+	// Sibling is a head's other head, or nil.
+	Sibling *Member
+}
+
+// Locate returns a node's place. Two heads in a region follow the store and each other. Within a data centre the nodes
+// form a tree by hash, and the roots of the data centres hang under the first head. All nodes that know the same members
+// see the same tree; usable leaves out those that a node can't follow.
+func Locate(members []Member, self fleet.NodeID, usable func(fleet.NodeID) bool) Place {
+	var me *Member
+	for i := range members {
+		if members[i].Node == self {
+			me = &members[i]
+		}
+	}
+	if me == nil {
+		return Place{}
+	}
+	var centre, roots []Member
+	byCentre := map[fleet.DataCentre][]Member{}
+	for _, m := range members {
+		if m.Region == me.Region && (m.Node == self || !m.Leaving && usable(m.Node)) {
+			byCentre[m.DataCentre] = append(byCentre[m.DataCentre], m)
+		}
+	}
+	for dc, ms := range byCentre {
+		slices.SortFunc(ms, compareHash)
+		roots = append(roots, ms[0])
+		if dc == me.DataCentre {
+			centre = ms
+		}
+	}
+	slices.SortFunc(roots, compareHash)
+	heads := roots[:min(len(roots), 2)]
+	if len(roots) == 1 {
+		heads = centre[:min(len(centre), 2)]
+	}
+	for i := range heads {
+		if heads[i].Node != self {
+			continue
+		}
+		if len(heads) == 1 {
+			return Place{}
+		}
+		return Place{Sibling: &heads[1-i]}
+	}
+	i := slices.IndexFunc(centre, func(m Member) bool { return m.Node == self })
+	if i > 0 {
+		return Place{Parent: &centre[(i-1)/FanOut]}
+	}
+	return Place{Parent: &heads[0]}
+}
+
+func compareHash(a, b Member) int {
+	return cmp.Or(cmp.Compare(xxhash.Sum64String(string(a.Node)), xxhash.Sum64String(string(b.Node))), cmp.Compare(a.Node, b.Node))
+}
--- a/member/view.go
+++ b/member/view.go
@@ -19,17 +19,27 @@
 	Unlisted bool
 	Since    time.Time // when the newest record came
 	checked  time.Time // when an unlisted member was last known to live
+	changed  uint64    // revision of the view in which it last changed
 }
 
 // View is the set of members known; it is not safe for concurrent use.
 type View struct {
-	members map[fleet.NodeID]*Member
-	gone    map[fleet.NodeID]Record // last records of members that left, against late news of them
+	members  map[fleet.NodeID]*Member
+	gone     map[fleet.NodeID]departed // members that left, against late news of them
+	revision uint64                    // counts the changes
 }
 
+type departed struct {
+	Record
+	changed uint64
+	at      time.Time
+}
+
+const goneKept = 10 * time.Minute // far longer than news are on their way
+
 // NewView returns an empty view.
 func NewView() *View {
-	return &View{members: map[fleet.NodeID]*Member{}, gone: map[fleet.NodeID]Record{}}
+	return &View{members: map[fleet.NodeID]*Member{}, gone: map[fleet.NodeID]departed{}}
 }
 
 // Change says what happened to a member.
@@ -54,14 +64,15 @@
 // Merge takes a record; listed says that it comes from the store. It returns no change for what is known or older.
 func (v *View) Merge(r Record, listed bool, now time.Time) []Change {
 	if last, ok := v.gone[r.Node]; ok {
-		if r.Compare(last) <= 0 {
+		if r.Compare(last.Record) <= 0 {
 			return nil
 		}
 		delete(v.gone, r.Node)
 	}
 	m := v.members[r.Node]
 	if m == nil {
-		v.members[r.Node] = &Member{Record: r, Unlisted: !listed, Since: now, checked: now}
+		v.revision++
+		v.members[r.Node] = &Member{Record: r, Unlisted: !listed, Since: now, checked: now, changed: v.revision}
 		return []Change{{r, Seen}}
 	}
 	var changes []Change
@@ -74,6 +85,10 @@
 		m.Unlisted = false
 		changes = append(changes, Change{m.Record, Regained})
 	}
+	if len(changes) > 0 {
+		v.revision++
+		m.changed = v.revision
+	}
 	return changes
 }
 
@@ -101,9 +116,10 @@
 	case m == nil || m.Unlisted:
 		return nil
 	case m.Leaving:
-		return v.remove(m, Left)
+		return v.remove(m, Left, now)
 	}
-	m.Unlisted, m.checked = true, now
+	v.revision++
+	m.Unlisted, m.checked, m.changed = true, now, v.revision
 	return []Change{{m.Record, Unlisted}}
 }
 
@@ -119,15 +135,45 @@
 	var changes []Change
 	for _, m := range v.sorted() {
 		if m.Unlisted && now.Sub(m.checked) >= UnlistedGrace {
-			changes = append(changes, v.remove(m, Lost)...)
+			changes = append(changes, v.remove(m, Lost, now)...)
+		}
+	}
+	for n, d := range v.gone {
+		if now.Sub(d.at) > goneKept {
+			delete(v.gone, n)
 		}
 	}
 	return changes
 }
 
-func (v *View) remove(m *Member, kind ChangeKind) []Change {
+// Remove takes word that a member has gone, unless it is known to have come back since.
+func (v *View) Remove(r Record, now time.Time) []Change {
+	m := v.members[r.Node]
+	if m == nil || m.Record.Compare(r) > 0 {
+		return nil
+	}
+	return v.remove(m, Left, now)
+}
+
+// Since returns the members that have changed after a revision, those that have gone, and the present revision.
+func (v *View) Since(revision uint64) (changed []Member, gone []Record, now uint64) {
+	for _, m := range v.sorted() {
+		if m.changed > revision {
+			changed = append(changed, *m)
+		}
+	}
+	for _, d := range v.gone {
+		if d.changed > revision {
+			gone = append(gone, d.Record)
+		}
+	}
+	return changed, gone, v.revision
+}
+
+func (v *View) remove(m *Member, kind ChangeKind, now time.Time) []Change {
+	v.revision++
 	delete(v.members, m.Node)
-	v.gone[m.Node] = m.Record
+	v.gone[m.Node] = departed{m.Record, v.revision, now}
 	return []Change{{m.Record, kind}}
 }
 
