gate, dispatch: late calls give way while calls in time are refused

Change: a gate that refuses a call in time says so for 500 ms; late calls are refused at once meanwhile, at the gate and before they are sent; callers that are refused come back after 1.2 s; two queues are asked before a refusal.

--- a/dispatch/dispatch.go
+++ b/dispatch/dispatch.go
@@ -63,6 +63,7 @@
 	parts  shares
 	sizes  sizes
 	waits  waits
+	press  press
 }
 
 // New returns a dispatcher without a configuration.
--- a/dispatch/trip.go
+++ b/dispatch/trip.go
@@ -14,6 +14,7 @@
 const (
 	maxHops      = 8                      // nodes asked for one call; more would only add load to a full service
 	maxLooks     = 2                      // full targets asked before a call waits at the best one
+	maxQueues    = 2                      // targets whose queue a call may ask for
 	minRetryLeft = 30 * time.Millisecond  // time left below which no further attempt is made
 	emptyRetry   = 300 * time.Millisecond // time in which a service without any target may have one again
 )
@@ -30,6 +31,7 @@
 	full    []*Peer // have said that they are full
 	avoided []*Peer // must not be asked again
 	hops    int
+	queued  int           // targets that refused the call a place in their queue
 	arrived int           // attempts that may have reached a target
 	unsure  hop.Cause     // an attempt that may have run failed for this cause
 	last    *hop.Answered // a target's own error, delivered if nothing better comes
@@ -38,6 +40,9 @@
 
 // run makes attempts until one settles the request.
 func (t *trip) run(ctx context.Context) hop.Outcome {
+	if t.hopeless() {
+		return t.final(hop.Refused{Cause: hop.TooLate, RetryAfter: lateReturn})
+	}
 	for {
 		p := t.next()
 		if p == nil {
@@ -50,12 +55,22 @@
 		o := t.carry(ctx, p, &c)
 		now := t.d.deps.Now()
 		p.end(o, now)
+		t.d.press.note(t.call.Service, o, now)
 		if t.settles(ctx, p, o, now) {
+			if _, ok := o.(hop.Refused); ok {
+				o = t.refused
+			}
 			return t.final(o)
 		}
 	}
 }
 
+// hopeless reports whether a call that is late already meets a service that refuses calls in time.
+func (t *trip) hopeless() bool {
+	now := t.d.deps.Now()
+	return t.call.Rank != hop.RankNested && !now.Before(t.call.Aim) && t.d.press.is(t.call.Service, now)
+}
+
 func (t *trip) carry(ctx context.Context, p *Peer, c *hop.Call) hop.Outcome {
 	if p.Distance == SameVM {
 		return t.d.deps.Local.Do(ctx, c)
@@ -127,7 +142,9 @@
 			t.full = append(t.full, p)
 		case t.call.Patience == hop.Queue && fullCause(o.Cause):
 			t.avoid(p)
-			return true
+			t.queued++
+			t.refused.RetryAfter = max(o.RetryAfter, lateReturn)
+			return t.queued >= maxQueues
 		default:
 			t.avoid(p)
 		}
--- a/gate/gate.go
+++ b/gate/gate.go
@@ -216,7 +216,7 @@
 func (g *Gate) load(now time.Time, c *hop.Call) hop.Load {
 	o := g.life.Occupant()
 	l := hop.Load{Running: g.queue.Running(), Waiting: g.queue.Waiting(), Limit: g.queue.Limit(),
-		Hold: time.Duration(float64(g.queue.Hold()) * g.pace), Wait: g.queue.Wait(now, ticket(c)), Cold: now.Before(o.WarmAt)}
+		Hold: time.Duration(float64(g.queue.Hold()) * g.pace), Wait: g.queue.Wait(now, ticket(c)), Cold: now.Before(o.WarmAt), Pressed: g.queue.Pressed(now)}
 	l.Failing = int(100 * g.failureShare(now))
 	return l
 }
--- a/gate/queue.go
+++ b/gate/queue.go
@@ -13,6 +13,7 @@
 	firstHold         = 100 * time.Millisecond // mean time that a slot is held, before any call has been seen
 	holdMargin        = 1.5                    // of the mean hold: four in five calls end within it
 	lateWait          = 250 * time.Millisecond // longest wait of a call that is late already; it only fills gaps
+	pressTime         = 500 * time.Millisecond // after a call in time had to be refused, in which late ones are refused
 )
 
 // Ticket is a call that asks for a slot.
@@ -54,6 +55,7 @@
 	running int
 	waiting []*Ticket
 	hold    time.Duration
+	pressed time.Time // when a call that could have been in time was last refused for lack of slots
 	holds   map[config.RouteName]time.Duration
 }
 
@@ -83,6 +85,10 @@
 // Offer decides on a call that has just come.
 func (q *Queue) Offer(now time.Time, t *Ticket) Decision {
 	t.arrived = now
+	late := t.Rank != hop.RankNested && q.late(now, t)
+	if late && q.Pressed(now) {
+		return Turned{hop.TooLate, q.wait(now, t)}
+	}
 	if q.running < q.limit && len(q.waiting) == 0 {
 		q.running++
 		return Admitted{}
@@ -94,12 +100,18 @@
 	case len(q.waiting) >= maxWaitingPerSlot*max(q.limit, 1):
 		return Turned{hop.QueueFull, wait}
 	case q.late(now.Add(wait), t) && wait > lateWait, now.Add(wait + q.holdOf(t.Route)).After(t.Deadline):
+		if !late {
+			q.pressed = now
+		}
 		return Turned{hop.TooLate, wait}
 	}
 	q.waiting = append(q.waiting, t)
 	return Queued{}
 }
 
+// Pressed reports whether a call that could have been in time was refused of late; slots go to such calls then.
+func (q *Queue) Pressed(now time.Time) bool { return now.Sub(q.pressed) < pressTime }
+
 // Wait returns the expected wait of a call.
 func (q *Queue) Wait(now time.Time, t *Ticket) time.Duration {
 	if q.running < q.limit {
@@ -207,7 +219,7 @@
 		switch {
 		case !now.Add(q.holdOf(t.Route) / 2).Before(t.Deadline):
 			t.Decided(Turned{Cause: hop.Expired, Wait: q.hold})
-		case q.late(now, t) && now.Sub(t.arrived) > lateWait:
+		case q.late(now, t) && now.Sub(t.arrived) > lateWait && t.Rank != hop.RankNested:
 			t.Decided(Turned{Cause: hop.TooLate, Wait: q.hold})
 		default:
 			kept = append(kept, t)
--- a/hop/call.go
+++ b/hop/call.go
@@ -56,6 +56,7 @@
 	Wait    time.Duration // expected wait of a call of the same rank
 	Failing int           // percent of recent calls that failed
 	Cold    bool
+	Pressed bool // calls that could have been in time are refused
 }
 
 // Cause says why a call was refused or failed.
