--- a/agent/follow.go
+++ b/agent/follow.go
@@ -125,7 +125,7 @@
 
 // listenToSibling takes the other head's news as long as both are heads.
 func (a *Agent) listenToSibling(ctx context.Context, s member.Member) error {
-	l, err := feed.Dial(ctx, s.Address, feed.Hello{Child: a.registrar.current(), Plan: a.version()})
+	l, err := feed.Dial(ctx, s.Address, feed.Hello{Child: a.registrar.current(), Plan: a.version(), Head: true})
 	if err != nil {
 		return err
 	}
@@ -207,6 +207,9 @@
 	plan, revision, full := hello.Plan, uint64(0), true
 	for !a.stopping.Load() {
 		n, changed := a.newsSince(&revision, &plan, full)
+		if hello.Head {
+			n.Store = a.ownStore.Load()
+		}
 		full = false
 		if err := l.Send(n); err != nil {
 			a.deps.Log.Info("child lost", "child", hello.Child.Node, "error", err)
--- a/feed/news.go
+++ b/feed/news.go
@@ -19,6 +19,9 @@
 type Hello struct {
 	Child member.Record
 	Plan  config.Version // the version that the child holds
+	// Head says that the child is the region's other head; it must hear of the parent's own touch with the store only, or
+	// two heads that are both cut off would believe each other.
+	Head bool
 }
 
 // News is what has changed since the last news; without changes it only says that the parent lives.
