dispatch, agent: fewer hops to full targets, shorter stops

A node that stopped shut its gate to others for 3 s while callers still came, and then closed its port (3,094 tries met no connection). Change: a call asks for a free slot only where one is believed to be, and else for a place in the best queue; a stopping node serves on until callers have had two readiness checks (2.2 s), refuses from then on with the time to come back, and ends once nothing is in flight; 15 log lines a second for each event.

--- a/agent/agent.go
+++ b/agent/agent.go
@@ -51,8 +51,9 @@
 	changed chan struct{} // closed at the next change of view or rawPlan
 	avoided map[fleet.NodeID]time.Time
 
-	loaded    atomic.Bool // the list of members has been read
-	stopping  atomic.Bool
+	loaded    atomic.Bool   // the list of members has been read
+	stopping  atomic.Bool   // the node is to end; callers are asked to go elsewhere
+	refusing  atomic.Bool   // requests are refused, since the process ends
 	ownStore  atomic.Bool   // the store answers, here or at a head that this node follows
 	sideStore atomic.Bool   // the store answers at the other head
 	revision  atomic.Uint64 // the store's revision up to which this node has heard everything
@@ -80,7 +81,7 @@
 func (a *Agent) record() member.Record {
 	cfg := a.cfg.Load()
 	o := a.gate.Occupant()
-	r := member.Record{Node: cfg.VM, DataCentre: cfg.DataCentre, Region: cfg.Region, Address: cfg.Link, Leaving: a.stopping.Load()}
+	r := member.Record{Node: cfg.VM, DataCentre: cfg.DataCentre, Region: cfg.Region, Address: cfg.Link, Leaving: a.refusing.Load()}
 	if o.ID != "" {
 		r.Target = member.Target{ID: o.ID, Born: o.Born, Service: o.Service, Slots: o.Slots, State: o.State,
 			Cold: max(o.WarmAt.Sub(a.deps.Now()), 0)}
@@ -188,33 +189,35 @@
 }
 
 const (
-	settleTime = 3 * time.Second        // two readiness checks a second apart, and one on its way
-	exitMargin = 300 * time.Millisecond // before the process is killed
+	moveTime   = 2200 * time.Millisecond // two readiness checks a second apart, after which callers go elsewhere
+	exitMargin = 600 * time.Millisecond  // before the process is killed
 	drainPoll  = 20 * time.Millisecond
+	returnTime = 1500 * time.Millisecond // in which a process that was stopped is back as a rule
 )
 
-// drain refuses calls of other nodes at once, takes requests of callers until they have moved away, and waits for the
-// requests in flight.
+// drain takes requests until callers have moved away, refuses new ones from then on, and waits for those in flight.
 func (a *Agent) drain(cfg *settings.Agent) {
 	a.deps.Log.Info("stopping", "in_flight", a.inflight.count())
 	ctx, cancel := context.WithTimeout(context.Background(), cfg.Grace-exitMargin)
 	defer cancel()
 	a.stopping.Store(true)
+	sleep(ctx, moveTime)
+	a.refusing.Store(true)
 	a.gate.Close()
 	a.targetChanged()
-	sleep(ctx, settleTime)
-	go a.registrar.leave()
-	for _, s := range a.servers {
-		go func() {
-			if err := s.Shutdown(ctx); err != nil {
-				a.deps.Log.Info("requests left at the end", "error", err)
-			}
-		}()
-	}
+	a.registrar.settled(leaveWait)
 	for ctx.Err() == nil && a.inflight.count() > 0 {
 		sleep(ctx, drainPoll)
 	}
-	sleep(ctx, drainPoll) // the last answers leave
+	left := a.inflight.count()
+	a.registrar.leave()
+	for _, s := range a.servers {
+		go func() { _ = s.Shutdown(ctx) }() // idle connections close; requests left are cut when the process ends
+	}
+	sleep(ctx, drainPoll)
+	if left > 0 {
+		a.deps.Log.Warn("requests left at the end", "in_flight", left)
+	}
 }
 
 // listen opens the node's sockets.
--- a/agent/registrar.go
+++ b/agent/registrar.go
@@ -19,7 +19,7 @@
 const (
 	leaseTime  = 12 * time.Second // of a node's entry; other nodes find out about its death by their own calls long before
 	leaseRenew = 4 * time.Second
-	leaveWait  = time.Second // for the end of the lease when the process ends
+	leaveWait  = 150 * time.Millisecond // for the store to take that the node leaves, and for the end of its lease
 )
 
 // registrar keeps the node's entry in the store.
--- a/agent/serve.go
+++ b/agent/serve.go
@@ -32,6 +32,10 @@
 	if a.stopping.Load() {
 		w.Header().Set("Connection", "close")
 	}
+	if a.refusing.Load() {
+		writeOutcome(w, in.ID, hop.Refused{Cause: hop.Closed, RetryAfter: returnTime})
+		return
+	}
 	body, cause := a.readBody(r)
 	if cause != "" {
 		a.deps.Log.Info("request not read", "call", in.ID, "cause", cause)
--- a/dispatch/choose.go
+++ b/dispatch/choose.go
@@ -88,6 +88,16 @@
 	return sum / time.Duration(n), fill / float64(n)
 }
 
+// free reports whether the peer is believed to have a free slot.
+func (p *Peer) free(now time.Time) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.loadAt.IsZero() || now.Sub(p.loadAt) > staleLoad {
+		return true
+	}
+	return p.load.Running+p.load.Waiting+p.inflight-p.base < p.load.Limit
+}
+
 // score estimates a call's cost at the peer in milliseconds.
 func (p *Peer) score(now time.Time, typicalHold time.Duration, typicalFill, kilobytes float64) float64 {
 	p.mu.Lock()
--- a/dispatch/trip.go
+++ b/dispatch/trip.go
@@ -78,7 +78,8 @@
 	return t.d.deps.Carrier.Carry(ctx, p.Address, c)
 }
 
-// next chooses the target of the next attempt, or nil when none is left.
+// next chooses the target of the next attempt, or nil when none is left. A target that is believed to have a free slot is
+// asked for it; once two have turned out to be full, or the best one is believed to be, the call asks for a place in a queue.
 func (t *trip) next() *Peer {
 	now := t.d.deps.Now()
 	if t.hops >= maxHops || t.hops > 0 && t.call.Deadline.Sub(now) < minRetryLeft {
@@ -86,13 +87,10 @@
 	}
 	peers := t.d.deps.Board.Peers(t.call.Service)
 	need := choice{kilobytes: t.d.sizes.of(t.rule.Name)}
-	t.call.Patience = hop.Elsewhere
-	if len(t.full) < maxLooks {
+	if len(t.full) < maxLooks && t.queued == 0 {
 		need.tried = func(p *Peer) bool { return slices.Contains(t.avoided, p) || slices.Contains(t.full, p) }
-		if p := choose(peers, need, now, t.rng); p != nil {
-			if t.alone(peers, p) {
-				t.call.Patience = hop.Queue
-			}
+		if p := choose(peers, need, now, t.rng); p != nil && p.free(now) {
+			t.call.Patience = hop.Elsewhere
 			return p
 		}
 	}
@@ -101,17 +99,6 @@
 	return leastWait(peers, need, now)
 }
 
-// alone reports whether no other target could be asked after p.
-func (t *trip) alone(peers []*Peer, p *Peer) bool {
-	now := t.d.deps.Now()
-	for _, o := range peers {
-		if o != p && !slices.Contains(t.avoided, o) && !slices.Contains(t.full, o) && o.Available(now) {
-			return false
-		}
-	}
-	return true
-}
-
 // settles judges an attempt's outcome and reports whether it ends the request.
 func (t *trip) settles(ctx context.Context, p *Peer, o hop.Outcome, now time.Time) bool {
 	switch o := o.(type) {
--- a/eventlog/handler.go
+++ b/eventlog/handler.go
@@ -8,7 +8,7 @@
 )
 
 const (
-	burst = 40 // lines of one event in a second; the first ones are never left out
+	burst = 15 // lines of one event in a second; the first ones are never left out
 	span  = time.Second
 )
 
