--- a/exchange/conn.go
+++ b/exchange/conn.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"context"
+	"fmt"
 	"io"
 	"net"
 	"net/http"
@@ -75,7 +76,7 @@
 		Enable: true, Idle: keepAliveIdle, Interval: keepAlivePeriod, Count: keepAliveProbes}}
 	nc, err := d.DialContext(ctx, "tcp4", address)
 	if err != nil {
-		return nil, errors.Mark(err, ErrNotSent)
+		return nil, fmt.Errorf("%w: %w", ErrNotSent, err)
 	}
 	c := &Conn{nc: nc, br: bufio.NewReaderSize(nc, readBuffer), idleLimit: defaultIdleLimit}
 	if tc, ok := nc.(*net.TCPConn); ok {
@@ -188,9 +189,9 @@
 
 func sendError(err error, sent int) error {
 	if sent == 0 {
-		return errors.Mark(err, ErrNotSent)
+		return fmt.Errorf("%w: %w", ErrNotSent, err)
 	}
-	return errors.Mark(err, ErrBroken)
+	return fmt.Errorf("%w: %w", ErrBroken, err)
 }
 
 func readError(err error) error {
@@ -198,9 +199,9 @@
 	switch {
 	case errors.Is(err, io.EOF), errors.Is(err, io.ErrUnexpectedEOF), errors.Is(err, syscall.ECONNRESET),
 		errors.Is(err, syscall.EPIPE), errors.Is(err, net.ErrClosed), errors.As(err, &ne):
-		return errors.Mark(err, ErrBroken)
+		return fmt.Errorf("%w: %w", ErrBroken, err)
 	}
-	return errors.Mark(err, ErrMalformed)
+	return fmt.Errorf("%w: %w", ErrMalformed, err)
 }
 
 func (r *Request) head() []byte {
--- a/feed/news.go
+++ b/feed/news.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"compress/flate"
+	"fmt"
 	"io"
 
 	"github.com/cockroachdb/errors"
@@ -60,7 +61,7 @@
 
 func decode(b []byte, v any) error {
 	if err := codec.NewDecoderBytes(b, handle).Decode(v); err != nil {
-		return errors.Mark(err, ErrMalformed)
+		return fmt.Errorf("%w: %w", ErrMalformed, err)
 	}
 	return nil
 }
@@ -85,7 +86,7 @@
 func Expand(packed []byte) ([]byte, error) {
 	plan, err := io.ReadAll(io.LimitReader(flate.NewReader(bytes.NewReader(packed)), maxPlan))
 	if err != nil {
-		return nil, errors.Mark(err, ErrMalformed)
+		return nil, fmt.Errorf("%w: %w", ErrMalformed, err)
 	}
 	return plan, nil
 }
--- /dev/null
+++ b/member/view_test.go
@@ -0,0 +1,140 @@
+package member_test
+
+import (
+	"fmt"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+	"pgregory.net/rapid"
+
+	"github.com/cassialead/cassialead/fleet"
+	"github.com/cassialead/cassialead/member"
+)
+
+var start = time.Date(2026, 12, 4, 8, 0, 0, 0, time.UTC)
+
+func record(n fleet.NodeID, inc fleet.Incarnation, seq fleet.Sequence) member.Record {
+	return member.Record{Node: n, Incarnation: inc, Sequence: seq, DataCentre: "costa-norte", Region: "costa", Address: "192.0.2.1:80"}
+}
+
+func names(v *member.View) []fleet.NodeID {
+	var ns []fleet.NodeID
+	for _, m := range v.Members() {
+		ns = append(ns, m.Node)
+	}
+	return ns
+}
+
+var _ = Describe("the view of the members", func() {
+	It("keeps the newest record whatever the order of arrival", func() {
+		v := member.NewView()
+		v.Merge(record("a", 2, 1), true, start)
+		Expect(v.Merge(record("a", 1, 9), true, start)).To(BeEmpty())
+		v.Merge(record("a", 2, 3), true, start)
+		Expect(v.Merge(record("a", 2, 2), true, start)).To(BeEmpty())
+		m, _ := v.Get("a")
+		Expect(m.Sequence).To(Equal(fleet.Sequence(3)))
+	})
+	It("keeps a member that vanished without a word for its grace, and longer while it answers", func() {
+		v := member.NewView()
+		v.Merge(record("a", 1, 1), true, start)
+		v.Unlist("a", start)
+		v.Expire(start.Add(member.UnlistedGrace - time.Millisecond))
+		Expect(names(v)).To(ConsistOf(fleet.NodeID("a")))
+		v.Confirm("a", 1, start.Add(2*time.Second))
+		v.Expire(start.Add(member.UnlistedGrace + time.Second))
+		Expect(names(v)).To(ConsistOf(fleet.NodeID("a")))
+		v.Confirm("a", 2, start.Add(4*time.Second)) // another process answers at the address
+		v.Expire(start.Add(2*time.Second + member.UnlistedGrace))
+		Expect(names(v)).To(BeEmpty())
+	})
+	It("removes a member that said it leaves as soon as its entry is gone, and does not take it back from late news", func() {
+		v := member.NewView()
+		r := record("a", 1, 2)
+		r.Leaving = true
+		v.Merge(r, true, start)
+		v.Unlist("a", start)
+		Expect(names(v)).To(BeEmpty())
+		Expect(v.Merge(record("a", 1, 1), false, start)).To(BeEmpty())
+		Expect(v.Merge(record("a", 2, 1), false, start)).NotTo(BeEmpty(), "another incarnation is another life")
+	})
+	It("tells a child what has changed and what has gone since a revision", func() {
+		v := member.NewView()
+		v.Merge(record("a", 1, 1), true, start)
+		v.Merge(record("b", 1, 1), true, start)
+		_, _, seen := v.Since(0)
+		v.Merge(record("a", 1, 2), true, start)
+		v.Remove(record("b", 1, 1), start)
+		changed, gone, _ := v.Since(seen)
+		Expect(changed).To(HaveLen(1))
+		Expect(changed[0].Node).To(Equal(fleet.NodeID("a")))
+		Expect(gone).To(ConsistOf(record("b", 1, 1)))
+	})
+})
+
+var _ = Describe("the tree", func() {
+	all := func(fleet.NodeID) bool { return true }
+	It("has two heads a region, no loop and bounded children at any size", func() {
+		rapid.Check(GinkgoT(), func(t *rapid.T) {
+			var members []member.Member
+			n := rapid.IntRange(1, 200).Draw(t, "nodes")
+			for i := range n {
+				dc := rapid.IntRange(0, 3).Draw(t, "data centre")
+				r := record(fleet.NodeID(fmt.Sprintf("node-%d", i)), 1, 1)
+				r.DataCentre, r.Region = fleet.DataCentre(fmt.Sprintf("dc-%d", dc)), fleet.Region(fmt.Sprintf("region-%d", dc/2))
+				members = append(members, member.Member{Record: r})
+			}
+			parents := map[fleet.NodeID]fleet.NodeID{}
+			children, heads := map[fleet.NodeID]int{}, map[fleet.Region]int{}
+			for _, m := range members {
+				p := member.Locate(members, m.Node, all)
+				if p.Parent == nil {
+					heads[m.Region]++
+					continue
+				}
+				if p.Parent.Region != m.Region {
+					t.Fatalf("%s follows a node of another region", m.Node)
+				}
+				parents[m.Node] = p.Parent.Node
+				children[p.Parent.Node]++
+			}
+			for region, n := range heads {
+				if n > 2 {
+					t.Fatalf("%d heads in %s", n, region)
+				}
+			}
+			for node, n := range children {
+				if n > member.FanOut+4 {
+					t.Fatalf("%d children of %s", n, node)
+				}
+			}
+			for node := range parents {
+				steps := 0
+				for at := node; parents[at] != ""; at = parents[at] {
+					if steps++; steps > len(members) {
+						t.Fatalf("%s follows itself", node)
+					}
+				}
+			}
+		})
+	})
+	It("gives a node that can't use a parent another one, and makes it a head when none is left", func() {
+		var members []member.Member
+		for _, n := range []fleet.NodeID{"a", "b", "c", "d"} {
+			members = append(members, member.Member{Record: record(n, 1, 1)})
+		}
+		avoided := map[fleet.NodeID]bool{}
+		usable := func(n fleet.NodeID) bool { return !avoided[n] }
+		for range 4 {
+			p := member.Locate(members, "c", usable)
+			if p.Parent == nil {
+				Expect(len(avoided)).To(BeNumerically("<=", 3))
+				return
+			}
+			Expect(avoided[p.Parent.Node]).To(BeFalse())
+			avoided[p.Parent.Node] = true
+		}
+		Fail("c still follows somebody")
+	})
+})
