feed, member: know a node by its name, not by its address

Change: news name their sender, a stranger is not followed, and a later node at an address ends the membership of the earlier one (test in member, failed before).

--- a/agent/follow.go
+++ b/agent/follow.go
@@ -49,7 +49,7 @@
 // follow takes news from a parent; it reports true when another parent has to be followed, and false when this one has
 // failed or is cut off from the store.
 func (a *Agent) follow(ctx context.Context, parent member.Member) bool {
-	l, err := feed.Dial(ctx, parent.Address, feed.Hello{Child: a.registrar.current(), Plan: a.version()})
+	l, err := feed.Dial(ctx, parent.Node, parent.Address, feed.Hello{Child: a.registrar.current(), Plan: a.version()})
 	if err != nil {
 		a.avoid(parent.Node, avoidFailed)
 		a.deps.Log.Info("parent not reached", "parent", parent.Node, "error", err)
@@ -125,7 +125,7 @@
 
 // listenToSibling takes the other head's news as long as both are heads.
 func (a *Agent) listenToSibling(ctx context.Context, s member.Member) error {
-	l, err := feed.Dial(ctx, s.Address, feed.Hello{Child: a.registrar.current(), Plan: a.version(), Head: true})
+	l, err := feed.Dial(ctx, s.Node, s.Address, feed.Hello{Child: a.registrar.current(), Plan: a.version(), Head: true})
 	if err != nil {
 		return err
 	}
@@ -227,7 +227,7 @@
 func (a *Agent) newsSince(revision *uint64, plan *config.Version, full bool) (feed.News, <-chan struct{}) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	n := feed.News{Full: full, Store: a.inTouch(), Revision: store.Revision(a.revision.Load())}
+	n := feed.News{Full: full, From: a.cfg.Load().VM, Store: a.inTouch(), Revision: store.Revision(a.revision.Load())}
 	var changed []member.Member
 	changed, n.Gone, *revision = a.view.Since(*revision)
 	if full {
--- a/dispatch/trip.go
+++ b/dispatch/trip.go
@@ -51,6 +51,7 @@
 		t.hops++
 		c := t.call
 		c.Instance = p.Instance
+		c.Hasty = c.Repeatable && t.arrived+1 < t.rule.Attempts && t.d.deps.Budget.Has(c.Service, t.d.deps.Now())
 		p.begin()
 		o := t.carry(ctx, p, &c)
 		now := t.d.deps.Now()
--- a/feed/line.go
+++ b/feed/line.go
@@ -23,10 +23,13 @@
 )
 
 // Line is one end of a feed.
-type Line struct{ ws *websocket.Conn }
+type Line struct {
+	ws     *websocket.Conn
+	parent fleet.NodeID // whose news are expected
+}
 
 // Dial connects to a parent and says hello.
-func Dial(ctx context.Context, to fleet.Address, h Hello) (*Line, error) {
+func Dial(ctx context.Context, parent fleet.NodeID, to fleet.Address, h Hello) (*Line, error) {
 	d := websocket.Dialer{ReadBufferSize: bufferSize, WriteBufferSize: bufferSize, HandshakeTimeout: dialTimeout,
 		NetDialContext: (&net.Dialer{Timeout: dialTimeout}).DialContext}
 	ws, resp, err := d.DialContext(ctx, "ws://"+string(to)+Path, nil)
@@ -35,6 +38,7 @@
 	}
 	_ = resp.Body.Close()
 	l := newLine(ws)
+	l.parent = parent
 	if err := l.send(h); err != nil {
 		l.Close()
 		return nil, err
@@ -60,7 +64,7 @@
 
 func newLine(ws *websocket.Conn) *Line {
 	ws.SetReadLimit(maxMessage)
-	return &Line{ws}
+	return &Line{ws: ws}
 }
 
 // Send sends news to the child.
@@ -77,11 +81,16 @@
 	return errors.Wrap(l.ws.WriteMessage(websocket.BinaryMessage, b), "send news")
 }
 
-// Receive waits for news from the parent, at most for the given time.
+// Receive waits for news from the parent, at most for the given time; it returns ErrStranger for another node's news.
 func (l *Line) Receive(most time.Duration) (News, error) {
 	var n News
-	err := l.receive(&n, most)
-	return n, err
+	if err := l.receive(&n, most); err != nil {
+		return News{}, err
+	}
+	if n.Full && n.From != l.parent {
+		return News{}, errors.Wrapf(ErrStranger, "%s in place of %s", n.From, l.parent)
+	}
+	return n, nil
 }
 
 func (l *Line) receive(v any, most time.Duration) error {
--- a/feed/news.go
+++ b/feed/news.go
@@ -10,6 +10,7 @@
 	"github.com/ugorji/go/codec"
 
 	"github.com/cassialead/cassialead/config"
+	"github.com/cassialead/cassialead/fleet"
 	"github.com/cassialead/cassialead/member"
 	"github.com/cassialead/cassialead/store"
 )
@@ -27,8 +28,10 @@
 
 // News is what has changed since the last news; without changes it only says that the parent lives.
 type News struct {
-	// Full says that Members are all that the parent knows.
+	// Full says that Members are all that the parent knows; From is the parent then, since another node may have taken
+	// over its address.
 	Full    bool
+	From    fleet.NodeID
 	Members []Entry
 	Gone    []member.Record
 	Plan    []byte // a newer configuration, compressed
@@ -44,6 +47,9 @@
 	Unlisted bool
 }
 
+// ErrStranger says that another node than the one expected answers at an address.
+var ErrStranger = errors.New("another node has the address")
+
 // ErrMalformed says that a message can't be read.
 var ErrMalformed = errors.New("malformed news")
 
--- a/hop/call.go
+++ b/hop/call.go
@@ -42,6 +42,7 @@
 	Rank       Rank
 	Repeatable bool
 	Repeat     bool // an earlier attempt may have reached a target
+	Hasty      bool // another target may be tried if the node gives no sign
 	Patience   Patience
 	Aim        time.Time // an answer is of full use until then
 	Deadline   time.Time
--- a/member/view.go
+++ b/member/view.go
@@ -71,9 +71,10 @@
 	}
 	m := v.members[r.Node]
 	if m == nil {
+		taken := v.takeOver(r, now)
 		v.revision++
 		v.members[r.Node] = &Member{Record: r, Unlisted: !listed, Since: now, checked: now, changed: v.revision}
-		return []Change{{r, Seen}}
+		return append(taken, Change{r, Seen})
 	}
 	var changes []Change
 	order := r.Compare(m.Record)
@@ -92,6 +93,17 @@
 	return changes
 }
 
+// takeOver removes the members whose address a later node has.
+func (v *View) takeOver(r Record, now time.Time) []Change {
+	var changes []Change
+	for _, m := range v.sorted() {
+		if m.Address == r.Address && m.Incarnation < r.Incarnation {
+			changes = append(changes, v.remove(m, Lost, now)...)
+		}
+	}
+	return changes
+}
+
 // Replace takes the whole list of the store: members that it does not name are unlisted.
 func (v *View) Replace(listed []Record, now time.Time) []Change {
 	var changes []Change
--- a/member/view_test.go
+++ b/member/view_test.go
@@ -18,6 +18,11 @@
 	return member.Record{Node: n, Incarnation: inc, Sequence: seq, DataCentre: "costa-norte", Region: "costa", Address: "192.0.2.1:80"}
 }
 
+func at(r member.Record, a fleet.Address) member.Record {
+	r.Address = a
+	return r
+}
+
 func names(v *member.View) []fleet.NodeID {
 	var ns []fleet.NodeID
 	for _, m := range v.Members() {
@@ -59,17 +64,23 @@
 		Expect(v.Merge(record("a", 1, 1), false, start)).To(BeEmpty())
 		Expect(v.Merge(record("a", 2, 1), false, start)).NotTo(BeEmpty(), "another incarnation is another life")
 	})
+	It("takes a node whose address a later node has for gone", func() {
+		v := member.NewView()
+		v.Merge(record("a", 1, 1), true, start)
+		v.Merge(record("c", 2, 1), true, start)
+		Expect(names(v)).To(ConsistOf(fleet.NodeID("c")))
+	})
 	It("tells a child what has changed and what has gone since a revision", func() {
 		v := member.NewView()
 		v.Merge(record("a", 1, 1), true, start)
-		v.Merge(record("b", 1, 1), true, start)
+		v.Merge(at(record("b", 1, 1), "192.0.2.2:80"), true, start)
 		_, _, seen := v.Since(0)
 		v.Merge(record("a", 1, 2), true, start)
-		v.Remove(record("b", 1, 1), start)
+		v.Remove(at(record("b", 1, 1), "192.0.2.2:80"), start)
 		changed, gone, _ := v.Since(seen)
 		Expect(changed).To(HaveLen(1))
 		Expect(changed[0].Node).To(Equal(fleet.NodeID("a")))
-		Expect(gone).To(ConsistOf(record("b", 1, 1)))
+		Expect(gone).To(ConsistOf(at(record("b", 1, 1), "192.0.2.2:80")))
 	})
 })
 
@@ -81,7 +92,7 @@
 			n := rapid.IntRange(1, 200).Draw(t, "nodes")
 			for i := range n {
 				dc := rapid.IntRange(0, 3).Draw(t, "data centre")
-				r := record(fleet.NodeID(fmt.Sprintf("node-%d", i)), 1, 1)
+				r := at(record(fleet.NodeID(fmt.Sprintf("node-%d", i)), 1, 1), fleet.Address(fmt.Sprintf("192.0.2.1:%d", i)))
 				r.DataCentre, r.Region = fleet.DataCentre(fmt.Sprintf("dc-%d", dc)), fleet.Region(fmt.Sprintf("region-%d", dc/2))
 				members = append(members, member.Member{Record: r})
 			}
