dispatch: keep calls nearer, bytes between regions cost more waiting

Change: a kilobyte to another data centre of the region weighs as 12 ms of waiting (was 5), to another region 45 ms (was 18).

--- a/dispatch/choose.go
+++ b/dispatch/choose.go
@@ -12,7 +12,7 @@
 // and back, and each kilobyte on a link that is paid by volume.
 var (
 	wayCost  = [...]time.Duration{SameVM: 0, SameCentre: 400 * time.Microsecond, SameRegion: 3 * time.Millisecond, OtherRegion: 17 * time.Millisecond}
-	byteCost = [...]time.Duration{SameVM: 0, SameCentre: 0, SameRegion: 5 * time.Millisecond, OtherRegion: 18 * time.Millisecond} // a kilobyte
+	byteCost = [...]time.Duration{SameVM: 0, SameCentre: 0, SameRegion: 12 * time.Millisecond, OtherRegion: 45 * time.Millisecond} // a kilobyte
 )
 
 const (
