--- a/agent/registrar.go
+++ b/agent/registrar.go
@@ -68,18 +68,17 @@
 }
 
 // freshEntry is the time after a write in which news that do not name the node may still be older than it.
-const freshEntry = 1500 * time.Millisecond
+const freshEntry = time.Second
 
 // lost notes that the store does not list the node any more.
 func (r *registrar) lost() {
 	r.mu.Lock()
-	fresh := r.a.deps.Now().Sub(r.storedAt) < freshEntry
+	age := r.a.deps.Now().Sub(r.storedAt)
 	r.mu.Unlock()
-	if fresh {
-		return
-	}
-	signal(r.gone)
-	signal(r.wake)
+	time.AfterFunc(max(freshEntry-age, 0), func() {
+		signal(r.gone)
+		signal(r.wake)
+	})
 }
 
 // settled waits until the store holds the present record, or until the time is up.
