--- a/agent/agent_test.go
+++ b/agent/agent_test.go
@@ -253,6 +253,7 @@
 		heads := s.heads()
 		Expect(heads).To(HaveLen(2))
 		s.store.Fail(standin.Faults{Status: 503, Only: func(n string) bool { return heads[n] }})
+		time.Sleep(settling + settling/2) // the watches that wait have ended
 		s.store.Put("op/config", plan(5, "/new/", "stock"))
 		for _, n := range s.nodes {
 			if !heads[string(n.cfg.VM)] {
--- a/agent/peer.go
+++ b/agent/peer.go
@@ -16,6 +16,7 @@
 	"github.com/cassialead/cassialead/config"
 	"github.com/cassialead/cassialead/feed"
 	"github.com/cassialead/cassialead/fleet"
+	"github.com/cassialead/cassialead/gate"
 	"github.com/cassialead/cassialead/hop"
 	"github.com/cassialead/cassialead/member"
 )
@@ -72,7 +73,42 @@
 	for name, values := range h {
 		answered.Header[name] = values
 	}
-	writeAnswer(w, answered, status)
+	writeAnswer(a.paced(r.Context(), w, len(answered.Body)), answered, status)
+}
+
+// headBytes is what an answer's head and its packets take on a link besides the body.
+const headBytes = 600
+
+// paced returns a writer that sends a long answer in its turn on the VM's link.
+func (a *Agent) paced(ctx context.Context, w http.ResponseWriter, bytes int) http.ResponseWriter {
+	if bytes < gate.BulkSize {
+		a.uplink.Note(bytes + headBytes)
+		return w
+	}
+	return &pacedWriter{ResponseWriter: w, ctx: ctx, uplink: a.uplink}
+}
+
+// pacedWriter sends pieces of an answer when the link has room for them.
+type pacedWriter struct {
+	http.ResponseWriter
+	ctx    context.Context
+	uplink *gate.Uplink
+}
+
+// Write sends a piece of the body.
+func (w *pacedWriter) Write(p []byte) (int, error) {
+	sent := 0
+	for len(p) > 0 {
+		piece := p[:min(len(p), gate.BulkSize)]
+		w.uplink.Wait(w.ctx, len(piece))
+		n, err := w.ResponseWriter.Write(piece)
+		sent += n
+		if err != nil {
+			return sent, err
+		}
+		p = p[len(piece):]
+	}
+	return sent, nil
 }
 
 // sign says once that a call has come, unless it has been answered.
--- a/dispatch/choose.go
+++ b/dispatch/choose.go
@@ -22,6 +22,7 @@
 	fillFactor    = 0.25                   // slow-down of a full target against an idle one
 	failureFactor = 3.0                    // exponent by which failures make a target dearer
 	scoreNoise    = 0.15                   // spread that keeps nodes with the same figures from choosing the same target
+	bulkKilobytes = 8.0                    // from which an answer waits for the backlog of its VM's link
 	exploreShare  = 0.05                   // calls sent to a target without fresh figures, if there is one
 )
 
@@ -122,6 +123,9 @@
 		ms *= coldFactor
 	}
 	ms /= math.Pow(max(1-failing, 0.1), failureFactor)
+	if kilobytes > bulkKilobytes && p.Distance != SameVM {
+		ms += 1000 * p.load.Link.Seconds()
+	}
 	return ms + 1000*wayCost[p.Distance].Seconds() + kilobytes*1000*byteCost[p.Distance].Seconds()
 }
 
--- a/dispatch/trip.go
+++ b/dispatch/trip.go
@@ -73,7 +73,7 @@
 }
 
 func (t *trip) carry(ctx context.Context, p *Peer, c *hop.Call) hop.Outcome {
-	if p.Distance == SameVM {
+	if c.Here = p.Distance == SameVM; c.Here {
 		return t.d.deps.Local.Do(ctx, c)
 	}
 	return t.d.deps.Carrier.Carry(ctx, p.Address, c)
--- a/gate/carry.go
+++ b/gate/carry.go
@@ -22,6 +22,8 @@
 	staleWithin    = 100 * time.Millisecond // such a reset comes at once
 	orderPatience  = 10 * time.Second       // a started order goes on this long after its caller has gone
 	minServiceTime = time.Millisecond       // time left below which no call is started
+	linkSlack      = 50 * time.Millisecond  // backlog of the link that never turns a call away
+	sizeGain       = 0.1                    // weight of one answer in the mean size of a route's answers
 )
 
 // Do admits a call and brings it to the target. Cancelling ctx gives up a call that waits or may be repeated; an order
@@ -163,12 +165,33 @@
 		cause = hop.NotHere
 	case o.State != lifecycle.Open:
 		cause = hop.TargetDown
-	case c.Deadline.Sub(now) < minServiceTime:
+	case c.Deadline.Sub(now) < minServiceTime, g.linkFull(now, c):
 		cause = hop.TooLate
 	default:
 		return nil
 	}
-	return &hop.Refused{Cause: cause, Load: g.load(now, c)}
+	return &hop.Refused{Cause: cause, RetryAfter: g.deps.Uplink.Backlog(), Load: g.load(now, c)}
+}
+
+// linkFull reports whether a long answer to another VM could not leave within the call's aim; it is called with mu held.
+func (g *Gate) linkFull(now time.Time, c *hop.Call) bool {
+	size := g.sizes[c.Route]
+	if c.Here || size < BulkSize {
+		return false
+	}
+	backlog := g.deps.Uplink.Backlog()
+	return backlog > linkSlack && now.Add(backlog+g.deps.Uplink.Time(int(size))+g.queue.holdOf(c.Route)).After(c.Aim)
+}
+
+// measure takes the size of a route's answer.
+func (g *Gate) measure(r config.RouteName, bytes int64) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	mean, ok := g.sizes[r]
+	if !ok {
+		mean = float64(bytes)
+	}
+	g.sizes[r] = mean + sizeGain*(float64(bytes)-mean)
 }
 
 // turnAwayRun refuses a call whose target has changed while it waited; it is called with mu held.
@@ -309,11 +332,13 @@
 		return hop.Failed{Cause: hop.BadAnswer, Load: g.loadFor(c)}
 	}
 	s.end(true, a.StatusCode >= http.StatusInternalServerError)
+	g.measure(c.Route, int64(len(body)))
 	return &hop.Answered{Status: a.StatusCode, Header: a.Header, Body: body, Length: int64(len(body)), Load: g.loadFor(c), Release: func() {}}
 }
 
 // stream passes on an answer that is too long to be read ahead; its slot is held until it has been read.
 func (g *Gate) stream(c *hop.Call, s *slot, a *exchange.Answer, body []byte, cancel context.CancelFunc) hop.Outcome {
+	g.measure(c.Route, max(a.ContentLength, int64(len(body))))
 	return &hop.Answered{Status: a.StatusCode, Header: a.Header, Body: body, Rest: a, Length: a.ContentLength, Load: g.loadFor(c), Release: func() {
 		s.pool.Put(a.Release(g.deps.Now()))
 		cancel()
--- a/gate/gate.go
+++ b/gate/gate.go
@@ -31,6 +31,7 @@
 	Log     *slog.Logger
 	Metrics *metrics.Set
 	Now     func() time.Time
+	Uplink  *Uplink
 	// Changed is called when what the node publishes of its target has changed.
 	Changed func()
 }
@@ -51,7 +52,8 @@
 	failing  float64
 	failedAt time.Time
 	pace     float64
-	running  map[hop.CallID]int // calls that the target works on
+	running  map[hop.CallID]int           // calls that the target works on
+	sizes    map[config.RouteName]float64 // mean bytes of a route's answers
 	asking   bool
 	expiring bool
 }
@@ -59,7 +61,7 @@
 // New returns a gate for a target of a service that the settings expect at an address.
 func New(deps Deps, service config.ServiceName, address fleet.Address) *Gate {
 	return &Gate{deps: deps, meters: newMeters(deps.Metrics), life: lifecycle.NewLife(), queue: NewQueue(), pool: exchange.NewPool(maxIdle),
-		service: service, address: address, pace: 1, running: map[hop.CallID]int{}}
+		service: service, address: address, pace: 1, running: map[hop.CallID]int{}, sizes: map[config.RouteName]float64{}}
 }
 
 // Occupant returns what the gate knows of the target.
@@ -216,7 +218,7 @@
 func (g *Gate) load(now time.Time, c *hop.Call) hop.Load {
 	o := g.life.Occupant()
 	l := hop.Load{Running: g.queue.Running(), Waiting: g.queue.Waiting(), Limit: g.queue.Limit(),
-		Hold: time.Duration(float64(g.queue.Hold()) * g.pace), Wait: g.queue.Wait(now, ticket(c)), Cold: now.Before(o.WarmAt), Pressed: g.queue.Pressed(now)}
+		Hold: time.Duration(float64(g.queue.Hold()) * g.pace), Wait: g.queue.Wait(now, ticket(c)), Cold: now.Before(o.WarmAt), Pressed: g.queue.Pressed(now), Link: g.deps.Uplink.Backlog()}
 	l.Failing = int(100 * g.failureShare(now))
 	return l
 }
--- /dev/null
+++ b/gate/uplink_test.go
@@ -0,0 +1,47 @@
+package gate_test
+
+import (
+	"context"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"github.com/cassialead/cassialead/gate"
+)
+
+var _ = Describe("the order on a VM's link", func() {
+	It("lets bulk answers fill no more than their share, and short ones add to the backlog without waiting", func() {
+		now := start
+		u := gate.NewUplink(8e6, func() time.Time { return now })
+		Expect(u.Backlog()).To(BeZero())
+		u.Note(85_000)
+		Expect(u.Backlog()).To(Equal(100 * time.Millisecond))
+		now = at(60)
+		Expect(u.Backlog()).To(Equal(40 * time.Millisecond))
+		now = at(500)
+		Expect(u.Backlog()).To(BeZero())
+	})
+	It("keeps pieces of bulk answers apart by the time that they take", func() {
+		u := gate.NewUplink(8e6, time.Now)
+		begun := time.Now()
+		for range 5 {
+			u.Wait(context.Background(), 8500) // 10 ms each
+		}
+		Expect(time.Since(begun)).To(BeNumerically(">=", 40*time.Millisecond))
+	})
+	It("gives up when the caller has gone", func() {
+		u := gate.NewUplink(8e3, time.Now)
+		u.Note(10_000)
+		ctx, cancel := context.WithCancel(context.Background())
+		cancel()
+		begun := time.Now()
+		u.Wait(ctx, 1000)
+		Expect(time.Since(begun)).To(BeNumerically("<", time.Second))
+	})
+	It("orders nothing on a link that is not known", func() {
+		u := gate.NewUplink(0, time.Now)
+		u.Note(1 << 30)
+		Expect(u.Backlog()).To(BeZero())
+	})
+})
--- a/hop/call.go
+++ b/hop/call.go
@@ -44,6 +44,7 @@
 	Repeat     bool // an earlier attempt may have reached a target
 	Hasty      bool // another target may be tried if the node gives no sign
 	Patience   Patience
+	Here       bool      // the caller is on the target's VM
 	Aim        time.Time // an answer is of full use until then
 	Deadline   time.Time
 }
@@ -57,7 +58,8 @@
 	Wait    time.Duration // expected wait of a call of the same rank
 	Failing int           // percent of recent calls that failed
 	Cold    bool
-	Pressed bool // calls that could have been in time are refused
+	Link    time.Duration // backlog of the VM's link, which long answers wait for
+	Pressed bool          // calls that could have been in time are refused
 }
 
 // Cause says why a call was refused or failed.
--- a/hop/header.go
+++ b/hop/header.go
@@ -47,6 +47,7 @@
 	Failing      int
 	Cold         bool
 	Pressed      bool
+	LinkUs       int64
 	TargetStatus int
 }
 
@@ -110,6 +111,7 @@
 		w.Kind, w.Cause, l, status = kindFailed, string(o.Cause), o.Load, http.StatusBadGateway
 	}
 	w.Running, w.Waiting, w.Limit, w.HoldUs, w.WaitUs = l.Running, l.Waiting, l.Limit, l.Hold.Microseconds(), l.Wait.Microseconds()
+	w.LinkUs = l.Link.Microseconds()
 	w.Failing, w.Cold, w.Pressed, w.TargetStatus = l.Failing, l.Cold, l.Pressed, status
 	h[outcomeHeader] = []string{encode(w)}
 	return status
@@ -127,7 +129,8 @@
 		return nil, "", errors.Wrapf(ErrMalformed, "status %d for an outcome of status %d", resp.StatusCode, w.TargetStatus)
 	}
 	l := Load{Running: w.Running, Waiting: w.Waiting, Limit: w.Limit, Hold: time.Duration(w.HoldUs) * time.Microsecond,
-		Wait: time.Duration(w.WaitUs) * time.Microsecond, Failing: w.Failing, Cold: w.Cold, Pressed: w.Pressed}
+		Wait: time.Duration(w.WaitUs) * time.Microsecond, Failing: w.Failing, Cold: w.Cold, Pressed: w.Pressed,
+		Link: time.Duration(w.LinkUs) * time.Microsecond}
 	switch w.Kind {
 	case kindAnswered:
 		return &Answered{Status: resp.StatusCode, Header: resp.Header, Length: resp.ContentLength, Load: l}, CallID(w.ID), nil
