--- a/dispatch/trip.go
+++ b/dispatch/trip.go
@@ -194,8 +194,12 @@
 		if t.last != nil {
 			return t.last
 		}
-		if t.unsure != "" {
+		switch {
+		case t.unsure != "":
 			o = hop.Failed{Cause: t.unsure}
+		case out.RetryAfter == 0:
+			out.RetryAfter = emptyRetry
+			o = out
 		}
 	case hop.Failed:
 		if t.last != nil {
--- /dev/null
+++ b/eventlog/eventlog_test.go
@@ -0,0 +1,85 @@
+package eventlog_test
+
+import (
+	"bytes"
+	"io"
+	"log/slog"
+	"strings"
+	"sync"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"github.com/cassialead/cassialead/eventlog"
+)
+
+// output is a reader of the log that can be stopped from reading.
+type output struct {
+	mu      sync.Mutex
+	lines   bytes.Buffer
+	blocked chan struct{}
+}
+
+func (o *output) Write(p []byte) (int, error) {
+	if o.blocked != nil {
+		<-o.blocked
+	}
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	return o.lines.Write(p)
+}
+
+var _ = Describe("the log", func() {
+	It("bounds the lines of each event, keeps the first and counts what it left out", func() {
+		o := &output{}
+		w := eventlog.NewWriter(o)
+		log := eventlog.New(w, "vm-1")
+		for range 1000 {
+			log.Info("flood")
+		}
+		log.Info("other event")
+		time.Sleep(1100 * time.Millisecond)
+		log.Info("flood")
+		w.Close()
+		text := o.lines.String()
+		Expect(strings.Count(text, `"msg":"flood"`)).To(BeNumerically("<", 100))
+		Expect(text).To(ContainSubstring(`"msg":"other event"`))
+		Expect(text).To(ContainSubstring(`"omitted":9`))
+	})
+	It("never blocks the caller, whatever the reader does", func() {
+		o := &output{blocked: make(chan struct{})}
+		w := eventlog.NewWriter(o)
+		log := slog.New(slog.NewJSONHandler(w, nil))
+		begun := time.Now()
+		for range 20000 {
+			log.Info("a line that nobody reads")
+		}
+		Expect(time.Since(begun)).To(BeNumerically("<", 2*time.Second))
+		Expect(w.Dropped()).To(BeNumerically(">", 0))
+		close(o.blocked)
+		w.Close()
+	})
+})
+
+var _ = Describe("the story of a request", func() {
+	const log = `   1.5 vm-1 {"time":"2026-12-04T08:00:01.5Z","level":"INFO","msg":"call sent on","vm":"vm-1","call":"a1","cause":"busy","left":1500000}
+{"time":"2026-12-04T08:00:01.2Z","level":"INFO","msg":"call failed at the target","vm":"vm-2","call":"a1.b2","cause":"broken"}
+{"time":"2026-12-04T08:00:01.3Z","level":"INFO","msg":"call not served","vm":"vm-2","call":"a12"}
+`
+	It("holds the lines about it and the calls made for it, in order", func() {
+		lines, err := eventlog.ReadStory("log", strings.NewReader(log), "a1")
+		Expect(err).NotTo(HaveOccurred())
+		eventlog.Order(lines)
+		Expect(lines).To(HaveLen(2))
+		Expect(lines[0].Get("call")).To(Equal("a1.b2"))
+		Expect(lines[1].VM).To(Equal("vm-1"))
+		Expect(lines[1].Get("left")).To(Equal("1500000"))
+	})
+	It("names file and line of what can't be read", func() {
+		_, err := eventlog.ReadStory("vm-1.log", strings.NewReader(log+"{a1"), "a1")
+		Expect(err).To(MatchError(ContainSubstring("vm-1.log:4")))
+		_, err = eventlog.ReadStory("vm-1.log", io.LimitReader(strings.NewReader(log), 40), "a1")
+		Expect(err).NotTo(HaveOccurred())
+	})
+})
--- a/gate/carry.go
+++ b/gate/carry.go
@@ -20,7 +20,7 @@
 	orderIdle      = time.Second            // longest idle time of a connection that an order is sent on
 	staleAfter     = 50 * time.Millisecond  // idle time from which a reset of a kept connection may be the target's idle close
 	staleWithin    = 100 * time.Millisecond // such a reset comes at once
-	orderPatience  = 10 * time.Second       // a started order goes on this long after its caller has gone
+	orderPatience  = time.Second            // after its deadline, in which a target answers that it has given an order up
 	minServiceTime = time.Millisecond       // time left below which no call is started
 	linkSlack      = 50 * time.Millisecond  // backlog of the link that never turns a call away
 	sizeGain       = 0.1                    // weight of one answer in the mean size of a route's answers
