agent: fewer calls of a starting node

Cause: a starting node made about seven priced calls: a list, a read of its own entry, a lease and a write for each state of its target. The tests' ports now lie below the kernel's range for connections: two runs had failed because a connection had taken a port before its node listened on it.

--- a/agent/agent.go
+++ b/agent/agent.go
@@ -52,7 +52,8 @@
 	changed chan struct{} // closed at the next change of view or rawPlan
 	avoided map[fleet.NodeID]time.Time
 
-	loaded    atomic.Bool   // the list of members has been read
+	listed    atomic.Bool   // a list of members has been read, which may be stale
+	loaded    atomic.Bool   // what this node knows has been fresh once
 	stopping  atomic.Bool   // the node is to end; callers are asked to go elsewhere
 	refusing  atomic.Bool   // requests are refused, since the process ends
 	ownStore  atomic.Bool   // the store answers, here or at a head that this node follows
--- a/agent/agent_test.go
+++ b/agent/agent_test.go
@@ -8,6 +8,7 @@
 	"log/slog"
 	"net"
 	"net/http"
+	"os"
 	"strings"
 	"sync/atomic"
 	"time"
@@ -85,11 +86,22 @@
 	done chan struct{}
 }
 
+// ports are handed out below the range from which the kernel takes the ports of connections, so that none is taken between
+// the look at it and the node's start.
+var ports atomic.Int64
+
+func init() { ports.Store(20000 + int64(os.Getpid()%100)*100) }
+
 func freePort() fleet.Address {
-	l, err := net.Listen("tcp4", "127.0.0.1:0")
-	Expect(err).NotTo(HaveOccurred())
-	defer func() { _ = l.Close() }()
-	return fleet.Address(l.Addr().String())
+	for {
+		address := fmt.Sprintf("127.0.0.1:%d", ports.Add(1))
+		l, err := net.Listen("tcp4", address)
+		if err != nil {
+			continue
+		}
+		Expect(l.Close()).To(Succeed())
+		return fleet.Address(address)
+	}
 }
 
 // site is a fleet of agents over one stand-in store.
--- a/agent/feed.go
+++ b/agent/feed.go
@@ -26,13 +26,14 @@
 func (a *Agent) feed(ctx context.Context) {
 	pause := firstPause
 	for ctx.Err() == nil {
-		if parent := a.place().Parent; parent != nil && a.loaded.Load() && a.follow(ctx, *parent) {
+		if parent := a.place().Parent; parent != nil && a.listed.Load() && a.follow(ctx, *parent) {
 			continue
 		}
 		wait := watchWait
 		if a.place().Parent != nil {
 			wait = 0
 		}
+		fresh := a.listed.Load()
 		err := a.readStore(ctx, wait)
 		switch {
 		case ctx.Err() != nil:
@@ -44,7 +45,7 @@
 		default:
 			a.storeState(&a.ownStore, true, nil)
 			pause = firstPause
-			if wait > 0 {
+			if wait > 0 && fresh {
 				sleep(ctx, watchPace)
 			}
 		}
@@ -70,11 +71,18 @@
 func (a *Agent) readStore(ctx context.Context, wait time.Duration) error {
 	after := store.Revision(a.revision.Load())
 	if after == 0 {
-		asOf, err := a.readAll(ctx)
-		if err == nil {
-			a.revision.Store(uint64(asOf))
+		// The first list may be stale, which costs a tenth: what has changed since comes from the parent or is asked for next.
+		stale := !a.listed.Load()
+		asOf, err := a.readAll(ctx, stale)
+		if err != nil {
+			return err
 		}
-		return err
+		a.revision.Store(uint64(asOf))
+		a.listed.Store(true)
+		if !stale {
+			a.loaded.Store(true)
+		}
+		return nil
 	}
 	asOf, err := a.readChanges(ctx, after, wait)
 	switch {
@@ -86,31 +94,31 @@
 		return err
 	}
 	a.revision.Store(uint64(asOf))
+	a.loaded.Store(true)
 	return nil
 }
 
-func (a *Agent) readAll(ctx context.Context) (store.Revision, error) {
-	items, asOf, err := a.deps.Store.Range(ctx, platform.WatchPrefix, false)
+func (a *Agent) readAll(ctx context.Context, stale bool) (store.Revision, error) {
+	items, asOf, err := a.deps.Store.Range(ctx, platform.WatchPrefix, stale)
 	if err != nil {
 		return 0, err
 	}
 	var records []member.Record
-	listed := false
+	var own *store.Item
 	for _, i := range items {
 		if i.Key == platform.PlanKey {
 			a.takePlan(i.Value, "store")
 		} else if r, ok := a.parseMember(i); ok {
 			records = append(records, r)
-			listed = listed || r.Node == a.cfg.Load().VM
+			if r.Node == a.cfg.Load().VM {
+				own = &i
+			}
 		}
 	}
 	a.mu.Lock()
 	a.publishMembers(a.view.Replace(a.withSelf(records), a.deps.Now()))
 	a.mu.Unlock()
-	a.loaded.Store(true)
-	if !listed {
-		a.registrar.lost()
-	}
+	a.registrar.seen(own, stale)
 	return asOf, nil
 }
 
--- a/agent/follow.go
+++ b/agent/follow.go
@@ -111,7 +111,7 @@
 	for ctx.Err() == nil {
 		sleep(ctx, parentPeriod/2)
 		s := a.place().Sibling
-		if s == nil || !a.loaded.Load() {
+		if s == nil || !a.listed.Load() {
 			a.storeState(&a.sideStore, false, errDeaf)
 			continue
 		}
@@ -189,6 +189,9 @@
 	}
 	a.publishMembers(changes)
 	a.mu.Unlock()
+	if n.Full && n.Store {
+		a.loaded.Store(true)
+	}
 	if !listed {
 		a.registrar.lost()
 	}
--- a/agent/peer.go
+++ b/agent/peer.go
@@ -165,6 +165,7 @@
 	}
 	a.merge(n.Records, false)
 	if len(n.Records) > 0 {
+		a.listed.Store(true)
 		a.loaded.Store(true)
 	}
 }
--- a/agent/registrar.go
+++ b/agent/registrar.go
@@ -11,14 +11,17 @@
 	"github.com/cockroachdb/errors"
 
 	"github.com/cassialead/cassialead/fleet"
+	"github.com/cassialead/cassialead/lifecycle"
 	"github.com/cassialead/cassialead/member"
 	"github.com/cassialead/cassialead/platform"
 	"github.com/cassialead/cassialead/store"
 )
 
 const (
-	leaseTime  = 12 * time.Second // of a node's entry; other nodes find out about its death by their own calls long before
-	leaseRenew = 4 * time.Second
+	leaseTime  = 20 * time.Second       // of a node's entry; other nodes find out about its death by their own calls long before
+	leaseRenew = 6 * time.Second        // three times within the lease
+	firstEntry = 2 * time.Second        // for a starting node to hear of its target, so that one write tells both
+	gatherWait = 100 * time.Millisecond // in which changes of the record are gathered into one write
 	leaveWait  = 150 * time.Millisecond // for the store to take that the node leaves, and for the end of its lease
 )
 
@@ -34,6 +37,8 @@
 
 	wake     chan struct{}
 	gone     chan struct{}
+	started  chan struct{} // closed once a list of the store has been read
+	once     sync.Once     // closes started
 	lease    store.LeaseNumber
 	held     atomic.Uint64 // the lease, for leave
 	renewAt  time.Time
@@ -42,7 +47,7 @@
 }
 
 func newRegistrar(a *Agent) *registrar {
-	r := &registrar{a: a, wake: make(chan struct{}, 1), gone: make(chan struct{}, 1)}
+	r := &registrar{a: a, wake: make(chan struct{}, 1), gone: make(chan struct{}, 1), started: make(chan struct{})}
 	r.record = a.record()
 	r.record.Incarnation = fleet.Incarnation(a.deps.Now().UnixMilli())
 	r.record.Sequence = 1
@@ -73,8 +78,11 @@
 // lost notes that the store does not list the node any more.
 func (r *registrar) lost() {
 	r.mu.Lock()
-	age := r.a.deps.Now().Sub(r.storedAt)
+	age, written := r.a.deps.Now().Sub(r.storedAt), !r.storedAt.IsZero()
 	r.mu.Unlock()
+	if !written {
+		return
+	}
 	time.AfterFunc(max(freshEntry-age, 0), func() {
 		signal(r.gone)
 		signal(r.wake)
@@ -110,7 +118,7 @@
 
 // run writes the entry, renews its lease and writes it again when it is lost.
 func (r *registrar) run(ctx context.Context) {
-	r.restore(ctx)
+	r.start(ctx)
 	pause := firstPause
 	for ctx.Err() == nil {
 		if err := r.step(ctx); err != nil && ctx.Err() == nil {
@@ -123,6 +131,7 @@
 		t := time.NewTimer(max(r.renewAt.Sub(r.a.deps.Now()), 0))
 		select {
 		case <-r.wake:
+			sleep(ctx, gatherWait)
 		case <-t.C:
 		case <-ctx.Done():
 		}
@@ -130,26 +139,54 @@
 	}
 }
 
-// restore reads what an earlier process of this node has published: its departures stay in force and its incarnation is
-// passed, whatever the clock says.
-func (r *registrar) restore(ctx context.Context) {
-	for ctx.Err() == nil {
-		i, err := r.a.deps.Store.Read(ctx, platform.MemberKey(r.record.Node))
-		switch {
-		case errors.Is(err, store.ErrAbsent):
-			r.revision, r.known = 0, true
+// seen takes the node's own entry from a list of the store, or nil if it is not there. A stale list only tells of an
+// earlier process.
+func (r *registrar) seen(own *store.Item, stale bool) {
+	switch {
+	case stale:
+		r.once.Do(func() {
+			// A stale revision costs a refused write at most, which reads the entry anew.
+			r.known = true
+			if own != nil {
+				r.take(*own)
+			}
+			close(r.started)
+		})
+	case own == nil:
+		r.lost()
+	}
+}
+
+// start waits until the list of the store has been read, so that an earlier process's departures are known, and for the
+// target to be heard of.
+func (r *registrar) start(ctx context.Context) {
+	select {
+	case <-r.started:
+	case <-ctx.Done():
+		return
+	}
+	t := time.NewTimer(firstEntry)
+	defer t.Stop()
+	for r.current().Target.State == lifecycle.Unknown {
+		select {
+		case <-r.wake:
+		case <-t.C:
 			return
-		case err == nil:
-			r.take(i)
+		case <-ctx.Done():
 			return
 		}
-		sleep(ctx, firstPause+rand.N(firstPause))
 	}
 }
 
 // take learns the entry's revision, and what an earlier process has written.
 func (r *registrar) take(i store.Item) {
 	r.revision, r.known = i.Revision, true
+	r.restore(i)
+}
+
+// restore takes what an earlier process of this node has published: its departures stay in force and its incarnation is
+// passed, whatever the clock says.
+func (r *registrar) restore(i store.Item) {
 	earlier, ok := r.a.parseMember(i)
 	if !ok {
 		return
