--- a/agent/feed.go
+++ b/agent/feed.go
@@ -19,36 +19,49 @@
 	watchPace   = 250 * time.Millisecond // between two watches, so that a storm of changes costs few calls
 	firstPause  = 200 * time.Millisecond // after the store failed
 	longestStop = time.Second            // between two tries; entries are to be back within two seconds of the store's return
+
+	maxLostParents = 2 // in a row, before the store is asked; two take less than the time in which a change has to be in force
 )
 
-// feed follows the configuration and the members: from a parent, or from the store at the heads of a region and where no
-// parent can be used. A node that loses its parent asks the store at once for what it may have missed.
+// feed follows the configuration and the members: from a parent, or from the store at the heads of a region. A node that
+// has lost two parents in a row asks the store for what it may have missed; a head that is cut off from the store gives
+// up its place.
 func (a *Agent) feed(ctx context.Context) {
-	pause := firstPause
+	pause, lost := firstPause, 0
+	var cutOff time.Time
 	for ctx.Err() == nil {
-		if parent := a.place().Parent; parent != nil && a.listed.Load() && a.follow(ctx, *parent) {
+		parent := a.place().Parent
+		if parent != nil && a.listed.Load() && lost < maxLostParents {
+			if lost++; a.follow(ctx, *parent) {
+				lost = 0
+			}
 			continue
 		}
 		wait := watchWait
-		if a.place().Parent != nil {
+		if parent != nil || !a.listed.Load() {
 			wait = 0
 		}
-		fresh := a.listed.Load()
+		lost = 0
 		err := a.readStore(ctx, wait)
+		now := a.deps.Now()
 		switch {
 		case ctx.Err() != nil:
 			return
-		case err != nil:
-			a.storeState(&a.ownStore, false, err)
-			sleep(ctx, pause/2+rand.N(pause))
-			pause = min(2*pause, longestStop)
-		default:
+		case err == nil:
 			a.storeState(&a.ownStore, true, nil)
-			pause = firstPause
-			if wait > 0 && fresh {
+			pause, cutOff = firstPause, time.Time{}
+			if wait > 0 {
 				sleep(ctx, watchPace)
 			}
+			continue
+		case cutOff.IsZero():
+			cutOff = now
+		case now.Sub(cutOff) >= deafTime && a.listed.Load() && !a.outage():
+			a.avoid(a.cfg.Load().VM, avoidDeaf)
 		}
+		a.storeState(&a.ownStore, false, err)
+		sleep(ctx, pause/2+rand.N(pause))
+		pause = min(2*pause, longestStop)
 	}
 }
 
--- a/agent/follow.go
+++ b/agent/follow.go
@@ -15,13 +15,14 @@
 )
 
 const (
-	alivePeriod   = 250 * time.Millisecond // between two signs of a parent
-	parentSilence = 800 * time.Millisecond // two lost signs, and a round trip between regions
-	gatherTime    = 20 * time.Millisecond  // in which changes are gathered before children hear of them
-	avoidFailed   = 3 * time.Second        // a parent that can't be reached
-	avoidDeaf     = 8 * time.Second        // a parent that is cut off from the store while this node is not
-	deafTime      = 300 * time.Millisecond // after which a child asks the store itself, and again after as long
-	parentPeriod  = time.Second            // between two looks at whether another parent has come
+	alivePeriod   = 250 * time.Millisecond  // between two signs of a parent
+	parentSilence = 800 * time.Millisecond  // two lost signs, and a round trip between regions
+	gatherTime    = 20 * time.Millisecond   // in which changes are gathered before children hear of them
+	avoidFailed   = 3 * time.Second         // a parent that can't be reached
+	avoidDeaf     = 8 * time.Second         // a parent that is cut off from the store while this node is not
+	deafTime      = 300 * time.Millisecond  // without the store, after which a head gives up its place
+	relayTime     = 1500 * time.Millisecond // without the store, after which a child leaves a parent that is no head
+	parentPeriod  = time.Second             // between two looks at whether another parent has come
 )
 
 var errDeaf = errors.New("the parent is cut off from the store")
@@ -40,6 +41,24 @@
 	return member.Locate(a.view.Members(), a.cfg.Load().VM, func(n fleet.NodeID) bool { return !now.Before(a.avoided[n]) })
 }
 
+// maxAvoided is how many nodes are avoided at the same time for being cut off from the store; if more are, the store itself
+// is out and another shape of the tree would not help.
+const maxAvoided = 3
+
+// outage reports whether so many nodes are cut off from the store that it must be the store's fault.
+func (a *Agent) outage() bool {
+	now := a.deps.Now()
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	n := 0
+	for _, until := range a.avoided {
+		if now.Before(until) {
+			n++
+		}
+	}
+	return n >= maxAvoided
+}
+
 func (a *Agent) avoid(n fleet.NodeID, d time.Duration) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
@@ -88,13 +107,12 @@
 		case n.Store:
 			deafSince = time.Time{}
 			a.revision.Store(uint64(n.Revision))
+		case n.Deaf:
+			return errDeaf
 		case deafSince.IsZero():
 			deafSince = now
-		case now.Sub(deafSince) >= deafTime:
-			deafSince = now
-			if a.readStore(ctx, 0) == nil {
-				return errDeaf
-			}
+		case now.Sub(deafSince) >= relayTime && !a.outage():
+			return errDeaf
 		}
 		if now.Sub(looked) < parentPeriod {
 			continue
@@ -147,13 +165,7 @@
 
 // takeFeed takes news from a parent.
 func (a *Agent) takeFeed(n feed.News, from string) {
-	if len(n.Plan) > 0 {
-		if plan, err := feed.Expand(n.Plan); err != nil {
-			a.deps.Log.Warn("configuration not unpacked", "from", from, "error", err)
-		} else {
-			a.takePlan(plan, from)
-		}
-	}
+	a.takePacked(n.Plan, from)
 	if !n.Full && len(n.Members) == 0 && len(n.Gone) == 0 {
 		return
 	}
@@ -230,7 +242,8 @@
 func (a *Agent) newsSince(revision *uint64, plan *config.Version, full bool) (feed.News, <-chan struct{}) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	n := feed.News{Full: full, From: a.cfg.Load().VM, Store: a.inTouch(), Revision: store.Revision(a.revision.Load())}
+	self := a.cfg.Load().VM
+	n := feed.News{Deaf: a.deps.Now().Before(a.avoided[self]), Full: full, From: self, Store: a.inTouch(), Revision: store.Revision(a.revision.Load())}
 	var changed []member.Member
 	changed, n.Gone, *revision = a.view.Since(*revision)
 	if full {
@@ -240,14 +253,32 @@
 		n.Members = append(n.Members, feed.Entry{Record: m.Record, Unlisted: m.Unlisted})
 	}
 	if v := a.version(); v > *plan {
-		if a.packed == nil {
-			packed, err := feed.Compress(a.rawPlan)
-			if err != nil {
-				a.deps.Log.Error("configuration not packed", "version", v, "error", err)
-			}
-			a.packed = packed
-		}
-		n.Plan, *plan = a.packed, v
+		n.Plan, *plan = a.pack(), v
 	}
 	return n, a.changed
 }
+
+// pack returns the configuration as other nodes get it, compressed once a version; it is called with mu held.
+func (a *Agent) pack() []byte {
+	if a.packed == nil {
+		packed, err := feed.Compress(a.rawPlan)
+		if err != nil {
+			a.deps.Log.Error("configuration not packed", "version", a.version(), "error", err)
+		}
+		a.packed = packed
+	}
+	return a.packed
+}
+
+// takePacked takes a configuration that another node has packed, if there is one.
+func (a *Agent) takePacked(packed []byte, from string) {
+	if len(packed) == 0 {
+		return
+	}
+	plan, err := feed.Expand(packed)
+	if err != nil {
+		a.deps.Log.Warn("configuration not unpacked", "from", from, "error", err)
+		return
+	}
+	a.takePlan(plan, from)
+}
--- a/agent/peer.go
+++ b/agent/peer.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"context"
 	"encoding/json"
+	"fmt"
 	"io"
 	"math/rand/v2"
 	"net/http"
@@ -29,6 +30,7 @@
 	recheck     = 800 * time.Millisecond // between two questions to an unlisted member; three fit into its grace
 	askPeriod   = 400 * time.Millisecond // between two questions for news while the store does not answer
 	maxView     = 4 << 20                // bytes of a view
+	farShare    = 0.15                   // questions for news that go to other data centres
 )
 
 // servePeer takes calls and questions of other nodes.
@@ -142,27 +144,30 @@
 
 // news is what a node tells another that the store does not answer.
 type news struct {
-	Plan    json.RawMessage `json:"plan,omitempty"`
-	Records []member.Record `json:"records"`
+	Plan    []byte          `json:"plan,omitempty"` // compressed
+	Records []member.Record `json:"records,omitempty"`
+	Digest  uint64          `json:"digest"` // of all records that the teller holds
 }
 
-func (a *Agent) news(held config.Version) news {
+// news returns what a node that holds a version and records of a digest does not know.
+func (a *Agent) news(held config.Version, digest uint64) news {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	n := news{}
+	members := a.view.Members()
+	n := news{Digest: member.Digest(members)}
 	if a.version() > held {
-		n.Plan = a.rawPlan
+		n.Plan = a.pack()
 	}
-	for _, m := range a.view.Members() {
-		n.Records = append(n.Records, m.Record)
+	if n.Digest != digest {
+		for _, m := range members {
+			n.Records = append(n.Records, m.Record)
+		}
 	}
 	return n
 }
 
 func (a *Agent) takeNews(n news, from string) {
-	if len(n.Plan) > 0 {
-		a.takePlan(n.Plan, from)
-	}
+	a.takePacked(n.Plan, from)
 	a.merge(n.Records, false)
 	if len(n.Records) > 0 {
 		a.listed.Store(true)
@@ -183,11 +188,12 @@
 		return
 	}
 	held, err := strconv.ParseUint(r.URL.Query().Get("plan"), 10, 64)
-	if err != nil {
+	digest, err2 := strconv.ParseUint(r.URL.Query().Get("digest"), 10, 64)
+	if err != nil || err2 != nil {
 		w.WriteHeader(http.StatusBadRequest)
 		return
 	}
-	writeJSON(w, a.news(config.Version(held)))
+	writeJSON(w, a.news(config.Version(held), digest))
 }
 
 func writeJSON(w http.ResponseWriter, v any) {
@@ -214,7 +220,7 @@
 		}
 		if !a.inTouch() && now.Sub(lastNews) >= askPeriod {
 			lastNews = now
-			go a.askNews(ctx, members)
+			a.askNews(ctx, members)
 		}
 	}
 }
@@ -255,23 +261,29 @@
 	a.merge([]member.Record{p.Record}, false)
 	if p.Plan == 0 && a.version() > 0 {
 		// The member has started while the store is out; it knows nobody to ask.
-		if err := a.ask(ctx, http.MethodPost, m.Address, viewPath, a.news(0), nil); err != nil {
+		if err := a.ask(ctx, http.MethodPost, m.Address, viewPath, a.news(0, 0), nil); err != nil {
 			a.deps.Log.Info("news not delivered", "node", m.Node, "error", err)
 		}
 	}
 }
 
-// askNews asks a random member for what is new.
+// askNews asks a random member for what is new: of the own data centre as a rule, since all nodes may ask at the same time
+// and links between regions are narrow.
 func (a *Agent) askNews(ctx context.Context, members []member.Member) {
-	if len(members) == 0 {
-		return
+	cfg := a.cfg.Load()
+	far := rand.Float64() < farShare
+	var others []member.Member
+	for _, m := range members {
+		if m.Node != cfg.VM && (far || m.DataCentre == cfg.DataCentre) {
+			others = append(others, m)
+		}
 	}
-	m := members[rand.IntN(len(members))]
-	if m.Node == a.cfg.Load().VM {
+	if len(others) == 0 {
 		return
 	}
+	m := others[rand.IntN(len(others))]
 	var n news
-	path := viewPath + "?plan=" + strconv.FormatUint(uint64(a.version()), 10)
+	path := fmt.Sprintf("%s?plan=%d&digest=%d", viewPath, a.version(), member.Digest(members))
 	if err := a.ask(ctx, http.MethodGet, m.Address, path, nil, &n); err != nil {
 		a.deps.Log.Info("no news", "node", m.Node, "error", err)
 		return
--- a/feed/news.go
+++ b/feed/news.go
@@ -37,6 +37,8 @@
 	Plan    []byte // a newer configuration, compressed
 	// Store says that a head of the tree is in touch with the store.
 	Store bool
+	// Deaf says that the sender is a head that is cut off from the store: another one has to take its place.
+	Deaf bool
 	// Revision is the store's revision that the news are complete up to.
 	Revision store.Revision
 }
--- a/member/record.go
+++ b/member/record.go
@@ -2,8 +2,11 @@
 
 import (
 	"cmp"
+	"fmt"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"github.com/cassialead/cassialead/config"
 	"github.com/cassialead/cassialead/fleet"
 	"github.com/cassialead/cassialead/lifecycle"
@@ -38,3 +41,12 @@
 
 // Serves reports whether the record offers a target to calls.
 func (r Record) Serves() bool { return !r.Leaving && r.Target.State == lifecycle.Open }
+
+// Digest returns a sum over the members' records that does not depend on their order.
+func Digest(members []Member) uint64 {
+	var sum uint64
+	for _, m := range members {
+		sum += xxhash.Sum64String(fmt.Sprintf("%s/%d/%d", m.Node, m.Incarnation, m.Sequence))
+	}
+	return sum
+}
--- a/member/tree.go
+++ b/member/tree.go
@@ -22,7 +22,8 @@
 
 // Locate returns a node's place. Two heads in a region follow the store and each other. Within a data centre the nodes
 // form a tree by hash, and the roots of the data centres hang under the first head. All nodes that know the same members
-// see the same tree; usable leaves out those that a node can't follow.
+// see the same tree; usable leaves out those that can't be followed. A node that is not usable itself, since it is cut off
+// from the store, follows another one.
 func Locate(members []Member, self fleet.NodeID, usable func(fleet.NodeID) bool) Place {
 	var me *Member
 	for i := range members {
@@ -36,7 +37,7 @@
 	var centre, roots []Member
 	byCentre := map[fleet.DataCentre][]Member{}
 	for _, m := range members {
-		if m.Region == me.Region && (m.Node == self || !m.Leaving && usable(m.Node)) {
+		if m.Region == me.Region && usable(m.Node) && (m.Node == self || !m.Leaving) {
 			byCentre[m.DataCentre] = append(byCentre[m.DataCentre], m)
 		}
 	}
@@ -47,9 +48,13 @@
 			centre = ms
 		}
 	}
+	if len(roots) == 0 {
+		return Place{}
+	}
 	slices.SortFunc(roots, compareHash)
 	heads := roots[:min(len(roots), 2)]
 	if len(roots) == 1 {
+		centre = byCentre[roots[0].DataCentre]
 		heads = centre[:min(len(centre), 2)]
 	}
 	for i := range heads {
@@ -62,8 +67,11 @@
 		return Place{Sibling: &heads[1-i]}
 	}
 	i := slices.IndexFunc(centre, func(m Member) bool { return m.Node == self })
-	if i > 0 {
+	switch {
+	case i > 0:
 		return Place{Parent: &centre[(i-1)/FanOut]}
+	case i < 0 && len(centre) > 0:
+		return Place{Parent: &centre[0]}
 	}
 	return Place{Parent: &heads[0]}
 }
