feed: the age of the store's word goes along the tree in place of a flag

Change: news carry how long ago the store was heard of, which grows from node to node on the steady clock; 2.2 s count as out of touch. The rule for the two heads follows from it.

--- a/agent/agent.go
+++ b/agent/agent.go
@@ -35,6 +35,7 @@
 // Agent is one running node on a platform.
 type Agent struct {
 	deps       Deps
+	born       time.Time
 	cfg        atomic.Pointer[settings.Agent]
 	board      *dispatch.Board
 	dispatcher *dispatch.Dispatcher
@@ -52,21 +53,22 @@
 	changed chan struct{} // closed at the next change of view or rawPlan
 	avoided map[fleet.NodeID]time.Time
 
-	listed    atomic.Bool   // a list of members has been read, which may be stale
-	loaded    atomic.Bool   // what this node knows has been fresh once
-	stopping  atomic.Bool   // the node is to end; callers are asked to go elsewhere
-	refusing  atomic.Bool   // requests are refused, since the process ends
-	ownStore  atomic.Bool   // the store answers, here or at a head that this node follows
-	sideStore atomic.Bool   // the store answers at the other head
-	revision  atomic.Uint64 // the store's revision up to which this node has heard everything
-	inflight  inflight
-	servers   []*http.Server
+	listed   atomic.Bool   // a list of members has been read, which may be stale
+	loaded   atomic.Bool   // what this node knows has been fresh once
+	stopping atomic.Bool   // the node is to end; callers are asked to go elsewhere
+	refusing atomic.Bool   // requests are refused, since the process ends
+	heard    atomic.Int64  // when the store was last heard of on any way, Unix nanoseconds
+	touching atomic.Bool   // that was recent, when it was last looked at
+	revision atomic.Uint64 // the store's revision up to which this node has heard everything
+	inflight inflight
+	servers  []*http.Server
 }
 
 // New returns an agent with its settings; Run opens its sockets.
 func New(cfg settings.Agent, deps Deps) *Agent {
-	a := &Agent{deps: deps, view: member.NewView(), changed: make(chan struct{}), avoided: map[fleet.NodeID]time.Time{}, lines: hop.NewLines(deps.Now)}
+	a := &Agent{deps: deps, born: deps.Now(), view: member.NewView(), changed: make(chan struct{}), avoided: map[fleet.NodeID]time.Time{}, lines: hop.NewLines(deps.Now)}
 	a.cfg.Store(&cfg)
+	a.heard.Store(int64(-freshTime)) // not yet
 	a.board = dispatch.NewBoard(dispatch.Place{Node: cfg.VM, DataCentre: cfg.DataCentre, Region: cfg.Region})
 	a.budget = dispatch.NewBudget(dispatch.RepeatBounds{Ratio: cfg.RepeatRatio, Slack: cfg.RepeatSlack, Window: cfg.RepeatWindow})
 	a.uplink = gate.NewUplink(cfg.LinkBits, deps.Now)
--- a/agent/feed.go
+++ b/agent/feed.go
@@ -4,7 +4,6 @@
 	"context"
 	"encoding/json"
 	"math/rand/v2"
-	"sync/atomic"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -48,7 +47,7 @@
 		case ctx.Err() != nil:
 			return
 		case err == nil:
-			a.storeState(&a.ownStore, true, nil)
+			a.hear(now)
 			pause, cutOff = firstPause, time.Time{}
 			if wait > 0 {
 				sleep(ctx, watchPace)
@@ -59,25 +58,41 @@
 		case now.Sub(cutOff) >= deafTime && a.listed.Load() && !a.outage():
 			a.avoid(a.cfg.Load().VM, avoidDeaf)
 		}
-		a.storeState(&a.ownStore, false, err)
+		a.lookAtStore(err)
 		sleep(ctx, pause/2+rand.N(pause))
 		pause = min(2*pause, longestStop)
 	}
 }
 
-// inTouch reports whether the store answers this node, or a head that this node hears from.
-func (a *Agent) inTouch() bool { return a.ownStore.Load() || a.sideStore.Load() }
-
-// storeState notes whether the store answers and logs when it is lost or regained.
-func (a *Agent) storeState(state *atomic.Bool, ok bool, err error) {
-	before := a.inTouch()
-	state.Store(ok)
-	switch after := a.inTouch(); {
-	case after && !before:
-		a.deps.Log.Info("store answers")
-	case before && !after:
-		a.deps.Log.Warn("store lost", "error", err)
+// freshTime is the age from which the store counts as out of touch: a watch, the pause after it, and the signs of three
+// parents.
+const freshTime = 2200 * time.Millisecond
+
+// hear notes that the store was heard of at a time, here or on the way of a parent's news.
+func (a *Agent) hear(at time.Time) {
+	if since := int64(at.Sub(a.born)); since > a.heard.Load() {
+		a.heard.Store(since)
+	}
+	a.lookAtStore(nil)
+}
+
+// age returns how long ago the store was heard of.
+func (a *Agent) age() time.Duration { return a.deps.Now().Sub(a.born) - time.Duration(a.heard.Load()) }
+
+// inTouch reports whether the store was heard of recently.
+func (a *Agent) inTouch() bool { return a.age() < freshTime }
+
+// lookAtStore logs when the touch with the store is lost or regained.
+func (a *Agent) lookAtStore(err error) {
+	now := a.inTouch()
+	if a.touching.Swap(now) == now {
+		return
+	}
+	if now {
+		a.deps.Log.Info("store answers", "age", a.age())
+		return
 	}
+	a.deps.Log.Warn("store lost", "age", a.age(), "error", err)
 }
 
 // readStore reads everything, or waits for what comes after the revision that this node has heard of.
--- a/agent/follow.go
+++ b/agent/follow.go
@@ -15,14 +15,14 @@
 )
 
 const (
-	alivePeriod   = 250 * time.Millisecond  // between two signs of a parent
-	parentSilence = 800 * time.Millisecond  // two lost signs, and a round trip between regions
-	gatherTime    = 20 * time.Millisecond   // in which changes are gathered before children hear of them
-	avoidFailed   = 3 * time.Second         // a parent that can't be reached
-	avoidDeaf     = 8 * time.Second         // a parent that is cut off from the store while this node is not
-	deafTime      = 300 * time.Millisecond  // without the store, after which a head gives up its place
-	relayTime     = 1500 * time.Millisecond // without the store, after which a child leaves a parent that is no head
-	parentPeriod  = time.Second             // between two looks at whether another parent has come
+	alivePeriod   = 250 * time.Millisecond // between two signs of a parent
+	parentSilence = 800 * time.Millisecond // two lost signs, and a round trip between regions
+	gatherTime    = 20 * time.Millisecond  // in which changes are gathered before children hear of them
+	avoidFailed   = 3 * time.Second        // a parent that can't be reached
+	avoidDeaf     = 8 * time.Second        // a parent that is cut off from the store while this node is not
+	deafTime      = 300 * time.Millisecond // without the store, after which a head gives up its place
+	relayTime     = 300 * time.Millisecond // without the store, after which a child leaves a parent that is no head
+	parentPeriod  = time.Second            // between two looks at whether another parent has come
 )
 
 var errDeaf = errors.New("the parent is cut off from the store")
@@ -102,9 +102,10 @@
 		}
 		now := a.deps.Now()
 		a.takeFeed(n, string(parent.Node))
-		a.storeState(&a.ownStore, n.Store, errDeaf)
+		a.hear(now.Add(-n.Age))
+		a.lookAtStore(errDeaf)
 		switch {
-		case n.Store:
+		case n.Age < freshTime:
 			deafSince = time.Time{}
 			a.revision.Store(uint64(n.Revision))
 		case n.Deaf:
@@ -130,11 +131,9 @@
 		sleep(ctx, parentPeriod/2)
 		s := a.place().Sibling
 		if s == nil || !a.listed.Load() {
-			a.storeState(&a.sideStore, false, errDeaf)
 			continue
 		}
 		if err := a.listenToSibling(ctx, *s); err != nil && ctx.Err() == nil {
-			a.storeState(&a.sideStore, false, err)
 			a.deps.Log.Info("other head not heard", "head", s.Node, "error", err)
 			a.avoid(s.Node, avoidFailed)
 		}
@@ -143,7 +142,7 @@
 
 // listenToSibling takes the other head's news as long as both are heads.
 func (a *Agent) listenToSibling(ctx context.Context, s member.Member) error {
-	l, err := feed.Dial(ctx, s.Node, s.Address, feed.Hello{Child: a.registrar.current(), Plan: a.version(), Head: true})
+	l, err := feed.Dial(ctx, s.Node, s.Address, feed.Hello{Child: a.registrar.current(), Plan: a.version()})
 	if err != nil {
 		return err
 	}
@@ -155,7 +154,7 @@
 			return err
 		}
 		a.takeFeed(n, string(s.Node))
-		a.storeState(&a.sideStore, n.Store, errDeaf)
+		a.hear(a.deps.Now().Add(-n.Age))
 		if now := a.place().Sibling; now == nil || now.Node != s.Node {
 			return nil
 		}
@@ -201,7 +200,7 @@
 	}
 	a.publishMembers(changes)
 	a.mu.Unlock()
-	if n.Full && n.Store {
+	if n.Full && n.Age < freshTime {
 		a.loaded.Store(true)
 	}
 	if !listed {
@@ -222,9 +221,6 @@
 	plan, revision, full := hello.Plan, uint64(0), true
 	for !a.stopping.Load() {
 		n, changed := a.newsSince(&revision, &plan, full)
-		if hello.Head {
-			n.Store = a.ownStore.Load()
-		}
 		full = false
 		if err := l.Send(n); err != nil {
 			a.deps.Log.Info("child lost", "child", hello.Child.Node, "error", err)
@@ -243,7 +239,7 @@
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	self := a.cfg.Load().VM
-	n := feed.News{Deaf: a.deps.Now().Before(a.avoided[self]), Full: full, From: self, Store: a.inTouch(), Revision: store.Revision(a.revision.Load())}
+	n := feed.News{Deaf: a.deps.Now().Before(a.avoided[self]), Full: full, From: self, Age: a.age(), Revision: store.Revision(a.revision.Load())}
 	var changed []member.Member
 	changed, n.Gone, *revision = a.view.Since(*revision)
 	if full {
--- a/agent/peer.go
+++ b/agent/peer.go
@@ -218,6 +218,7 @@
 				go a.ping(ctx, m)
 			}
 		}
+		a.lookAtStore(nil)
 		if !a.inTouch() && now.Sub(lastNews) >= askPeriod {
 			lastNews = now
 			a.askNews(ctx, members)
--- a/feed/news.go
+++ b/feed/news.go
@@ -5,6 +5,7 @@
 	"compress/flate"
 	"fmt"
 	"io"
+	"time"
 
 	"github.com/cockroachdb/errors"
 	"github.com/ugorji/go/codec"
@@ -21,9 +22,6 @@
 type Hello struct {
 	Child member.Record
 	Plan  config.Version // the version that the child holds
-	// Head says that the child is the region's other head; it must hear of the parent's own touch with the store only, or
-	// two heads that are both cut off would believe each other.
-	Head bool
 }
 
 // News is what has changed since the last news; without changes it only says that the parent lives.
@@ -35,8 +33,9 @@
 	Members []Entry
 	Gone    []member.Record
 	Plan    []byte // a newer configuration, compressed
-	// Store says that a head of the tree is in touch with the store.
-	Store bool
+	// Age is how long ago the store was heard of on the way of these news. It grows from node to node, so that nodes that
+	// follow each other in a circle find out that nobody hears the store.
+	Age time.Duration
 	// Deaf says that the sender is a head that is cut off from the store: another one has to take its place.
 	Deaf bool
 	// Revision is the store's revision that the news are complete up to.
