gate: answers claim their share of the link from admission on

The backlog counted only pieces that had begun to leave, so gates went on taking downloads. Ruled out: the stop itself (it waited until its last 0.6 s). Test in gate (claims, each byte counted once).

--- a/agent/peer.go
+++ b/agent/peer.go
@@ -75,26 +75,17 @@
 	for name, values := range h {
 		answered.Header[name] = values
 	}
-	writeAnswer(a.paced(r.Context(), w, len(answered.Body)), answered, status)
-}
-
-// headBytes is what an answer's head and its packets take on a link besides the body.
-const headBytes = 600
-
-// paced returns a writer that sends a long answer in its turn on the VM's link.
-func (a *Agent) paced(ctx context.Context, w http.ResponseWriter, bytes int) http.ResponseWriter {
-	if bytes < gate.BulkSize {
-		a.uplink.Note(bytes + headBytes)
-		return w
+	if answered.Send != nil {
+		w = &pacedWriter{ResponseWriter: w, ctx: r.Context(), send: answered.Send}
 	}
-	return &pacedWriter{ResponseWriter: w, ctx: ctx, uplink: a.uplink}
+	writeAnswer(w, answered, status)
 }
 
 // pacedWriter sends pieces of an answer when the link has room for them.
 type pacedWriter struct {
 	http.ResponseWriter
-	ctx    context.Context
-	uplink *gate.Uplink
+	ctx  context.Context
+	send func(context.Context, int)
 }
 
 // Write sends a piece of the body.
@@ -102,7 +93,7 @@
 	sent := 0
 	for len(p) > 0 {
 		piece := p[:min(len(p), gate.BulkSize)]
-		w.uplink.Wait(w.ctx, len(piece))
+		w.send(w.ctx, len(piece))
 		n, err := w.ResponseWriter.Write(piece)
 		sent += n
 		if err != nil {
--- a/gate/carry.go
+++ b/gate/carry.go
@@ -24,6 +24,7 @@
 	minServiceTime = time.Millisecond       // time left below which no call is started
 	linkSlack      = 50 * time.Millisecond  // backlog of the link that never turns a call away
 	sizeGain       = 0.1                    // weight of one answer in the mean size of a route's answers
+	headBytes      = 600                    // what an answer's head and its packets take on a link besides the body
 )
 
 // Do admits a call and brings it to the target. Cancelling ctx gives up a call that waits or may be repeated; an order
@@ -49,7 +50,11 @@
 	if refused != nil {
 		return *refused
 	}
-	return g.run(ctx, c, s)
+	o := g.run(ctx, c, s)
+	if _, ok := o.(*hop.Answered); !ok {
+		s.claim.Set(0)
+	}
+	return o
 }
 
 // ticket returns a call's ticket for the queue. The answer to a nested call is of full use as long as its parent waits.
@@ -78,6 +83,7 @@
 	at      lifecycle.Occupant
 	pool    *exchange.Pool
 	release sync.Once
+	claim   *Reservation // of the VM's link
 }
 
 // end returns the slot; failed says that the target did not do its work.
@@ -147,6 +153,9 @@
 			return nil, refused
 		}
 		g.running[c.ID]++
+		if size := g.sizes[c.Route]; !c.Here && size >= BulkSize {
+			s.claim = g.deps.Uplink.Reserve(int(size))
+		}
 		return s, nil
 	case Turned:
 		return nil, &hop.Refused{Cause: d.Cause, RetryAfter: d.Wait, Load: g.load(now, c)}
@@ -333,17 +342,43 @@
 	}
 	s.end(true, a.StatusCode >= http.StatusInternalServerError)
 	g.measure(c.Route, int64(len(body)))
-	return &hop.Answered{Status: a.StatusCode, Header: a.Header, Body: body, Length: int64(len(body)), Load: g.loadFor(c), Release: func() {}}
+	out := &hop.Answered{Status: a.StatusCode, Header: a.Header, Body: body, Length: int64(len(body)), Load: g.loadFor(c), Release: func() {}}
+	g.order(c, s, out)
+	return out
 }
 
 // stream passes on an answer that is too long to be read ahead; its slot is held until it has been read.
 func (g *Gate) stream(c *hop.Call, s *slot, a *exchange.Answer, body []byte, cancel context.CancelFunc) hop.Outcome {
 	g.measure(c.Route, max(a.ContentLength, int64(len(body))))
-	return &hop.Answered{Status: a.StatusCode, Header: a.Header, Body: body, Rest: a, Length: a.ContentLength, Load: g.loadFor(c), Release: func() {
+	out := &hop.Answered{Status: a.StatusCode, Header: a.Header, Body: body, Rest: a, Length: a.ContentLength, Load: g.loadFor(c), Release: func() {
 		s.pool.Put(a.Release(g.deps.Now()))
 		cancel()
 		s.end(false, false)
 	}}
+	g.order(c, s, out)
+	return out
+}
+
+// order gives an answer to another VM its turn on the link; its claim ends with its release.
+func (g *Gate) order(c *hop.Call, s *slot, out *hop.Answered) {
+	size := max(int(out.Length), len(out.Body))
+	switch {
+	case c.Here:
+	case size < BulkSize:
+		g.deps.Uplink.Note(size + headBytes)
+		s.claim.Set(0)
+	default:
+		if s.claim == nil {
+			s.claim = g.deps.Uplink.Reserve(size)
+		}
+		s.claim.Set(size)
+		out.Send = func(ctx context.Context, bytes int) { g.deps.Uplink.Wait(ctx, s.claim, bytes) }
+		release := out.Release
+		out.Release = func() {
+			release()
+			s.claim.Set(0)
+		}
+	}
 }
 
 // replaced notes that another target answers at the address.
--- a/gate/uplink.go
+++ b/gate/uplink.go
@@ -18,8 +18,34 @@
 	now  func() time.Time
 	rate float64 // bytes a second; zero means that nothing is ordered
 
-	mu   sync.Mutex
-	free time.Time // when what was taken so far has left
+	mu      sync.Mutex
+	free    time.Time // when what was taken so far has left
+	pending int       // bytes of bulk answers that are expected or wait for their turn
+}
+
+// Reservation is a bulk answer's claim on the link; the nil reservation claims nothing.
+type Reservation struct {
+	u    *Uplink
+	left int
+}
+
+// Reserve counts an answer of so many bytes before it is there, so that the backlog tells of it.
+func (u *Uplink) Reserve(bytes int) *Reservation {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	u.pending += bytes
+	return &Reservation{u, bytes}
+}
+
+// Set corrects the size of the answer; zero ends the claim.
+func (r *Reservation) Set(bytes int) {
+	if r == nil {
+		return
+	}
+	r.u.mu.Lock()
+	defer r.u.mu.Unlock()
+	r.u.pending += bytes - r.left
+	r.left = bytes
 }
 
 // NewUplink returns the order for a link of so many bits a second; zero means that it is not known.
@@ -31,7 +57,7 @@
 func (u *Uplink) Backlog() time.Duration {
 	u.mu.Lock()
 	defer u.mu.Unlock()
-	return max(u.free.Sub(u.now()), 0)
+	return max(u.free.Sub(u.now()), 0) + u.Time(u.pending)
 }
 
 // Time returns how long bytes take on the link.
@@ -49,10 +75,15 @@
 	u.take(bytes)
 }
 
-// Wait counts the bytes of a piece of a bulk answer and waits until they may be sent, or until ctx ends.
-func (u *Uplink) Wait(ctx context.Context, bytes int) {
+// Wait counts the bytes of a piece of a bulk answer against its claim and waits until they may be sent, or until ctx ends.
+func (u *Uplink) Wait(ctx context.Context, r *Reservation, bytes int) {
 	u.mu.Lock()
 	wait := u.take(bytes)
+	if r != nil {
+		claimed := min(bytes, r.left)
+		r.left -= claimed
+		u.pending -= claimed
+	}
 	u.mu.Unlock()
 	if wait <= 0 {
 		return
--- a/gate/uplink_test.go
+++ b/gate/uplink_test.go
@@ -26,17 +26,29 @@
 		u := gate.NewUplink(8e6, time.Now)
 		begun := time.Now()
 		for range 5 {
-			u.Wait(context.Background(), 8500) // 10 ms each
+			u.Wait(context.Background(), nil, 8500) // 10 ms each
 		}
 		Expect(time.Since(begun)).To(BeNumerically(">=", 40*time.Millisecond))
 	})
+	It("tells of answers that are expected, and of each byte once", func() {
+		now := start
+		u := gate.NewUplink(8e6, func() time.Time { return now })
+		r := u.Reserve(85_000)
+		Expect(u.Backlog()).To(Equal(100 * time.Millisecond))
+		u.Wait(context.Background(), r, 8_500)
+		Expect(u.Backlog()).To(Equal(100 * time.Millisecond))
+		r.Set(42_500)
+		Expect(u.Backlog()).To(Equal(60 * time.Millisecond))
+		r.Set(0)
+		Expect(u.Backlog()).To(Equal(10 * time.Millisecond))
+	})
 	It("gives up when the caller has gone", func() {
 		u := gate.NewUplink(8e3, time.Now)
 		u.Note(10_000)
 		ctx, cancel := context.WithCancel(context.Background())
 		cancel()
 		begun := time.Now()
-		u.Wait(ctx, 1000)
+		u.Wait(ctx, nil, 1000)
 		Expect(time.Since(begun)).To(BeNumerically("<", time.Second))
 	})
 	It("orders nothing on a link that is not known", func() {
--- a/hop/call.go
+++ b/hop/call.go
@@ -1,6 +1,7 @@
 package hop
 
 import (
+	"context"
 	"io"
 	"net/http"
 	"time"
@@ -101,6 +102,8 @@
 	Rest   io.Reader // what follows Body, or nil
 	Length int64     // of the whole body, or -1
 	Load   Load
+	// Send waits until a piece of the body may be sent on the VM's link; it is nil where nothing has to wait.
+	Send func(ctx context.Context, bytes int)
 	// Release ends the exchange; it must be called once Rest has been read or given up.
 	Release func()
 }
