dispatch: a silent node is given up only for another attempt that is paid for

Change: the repeat is paid for at the moment of giving up; without it, without another target or without time the attempt is waited for.

--- a/dispatch/budget.go
+++ b/dispatch/budget.go
@@ -66,13 +66,6 @@
 	return true
 }
 
-// Has reports whether a repeat is left.
-func (b *Budget) Has(s config.ServiceName, now time.Time) bool {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	return b.purse(s, now).tokens >= 1
-}
-
 // slack is this node's part of the repeats that a window allows whatever the calls.
 func (b *Budget) slack() float64 { return b.bounds.Slack * slackShare / float64(b.nodes) }
 
--- a/dispatch/trip.go
+++ b/dispatch/trip.go
@@ -51,7 +51,7 @@
 		t.hops++
 		c := t.call
 		c.Instance = p.Instance
-		c.Hasty = c.Repeatable && t.arrived+1 < t.rule.Attempts && t.d.deps.Budget.Has(c.Service, t.d.deps.Now())
+		c.GiveUp = t.giveUpSilent(p)
 		p.begin()
 		o := t.carry(ctx, p, &c)
 		now := t.d.deps.Now()
@@ -66,6 +66,26 @@
 	}
 }
 
+// giveUpSilent returns what decides whether an attempt at a silent node is broken off: only for another one, which is paid
+// for at that moment. The work of a target is not thrown away for nothing.
+func (t *trip) giveUpSilent(p *Peer) func() bool {
+	if !t.call.Repeatable || t.arrived+1 >= t.rule.Attempts {
+		return nil
+	}
+	now := t.d.deps.Now()
+	others := slices.ContainsFunc(t.d.deps.Board.Peers(t.call.Service), func(o *Peer) bool {
+		return o != p && !slices.Contains(t.avoided, o) && o.Available(now)
+	})
+	if !others {
+		return nil
+	}
+	service, deadline := t.call.Service, t.call.Deadline
+	return func() bool {
+		now := t.d.deps.Now()
+		return deadline.Sub(now) > 2*minRetryLeft && t.d.deps.Budget.Spend(service, now)
+	}
+}
+
 // hopeless reports whether a call that is late already meets a service that refuses calls in time.
 func (t *trip) hopeless() bool {
 	now := t.d.deps.Now()
@@ -144,7 +164,9 @@
 			return true
 		}
 		t.unsure = o.Cause
-		if !t.mayRepeat(now) {
+		if o.Cause == hop.Silent {
+			t.repeat()
+		} else if !t.mayRepeat(now) {
 			return true
 		}
 		t.note(p, o.Cause)
@@ -163,9 +185,14 @@
 		t.d.deps.Log.Info("call not repeated", "call", t.call.ID, "cause", hop.NoBudget, "service", t.call.Service)
 		return false
 	}
+	t.repeat()
+	return true
+}
+
+// repeat notes that the call goes to another target although it may have run.
+func (t *trip) repeat() {
 	t.call.Repeat = true
 	t.d.meters.repeats.Inc()
-	return true
 }
 
 // note logs why a call goes on to another target.
--- a/gate/carry.go
+++ b/gate/carry.go
@@ -307,7 +307,7 @@
 	s.end(true, true)
 	switch {
 	case errors.Is(err, exchange.ErrNotSent):
-		g.unreachable(s)
+		g.change("no connection", func(l *lifecycle.Life) bool { return l.Fail(s.at.ID) })
 		return hop.Refused{Cause: hop.TargetDown, Load: g.loadFor(c)}
 	case errors.Is(err, exchange.ErrMalformed):
 		return hop.Failed{Cause: hop.BadAnswer, Load: g.loadFor(c)}
@@ -315,23 +315,13 @@
 	return hop.Failed{Cause: hop.Broken, Load: g.loadFor(c)}
 }
 
-// unreachable notes that the target took no connection.
-func (g *Gate) unreachable(s *slot) {
-	now := g.deps.Now()
-	g.mu.Lock()
-	before := g.life.Occupant()
-	changed := g.life.Fail(s.at.ID)
-	g.settle(before, now)
-	g.mu.Unlock()
-	g.report("no connection", before, changed)
-}
-
 // judge turns a whole answer into an outcome.
 func (g *Gate) judge(c *hop.Call, s *slot, a *exchange.Answer, v Verdict, body []byte) hop.Outcome {
 	switch {
 	case v.OtherTarget:
 		s.end(false, false)
-		g.replaced(s)
+		g.change("another target answered", func(l *lifecycle.Life) bool { return l.Replaced(s.at.ID) })
+		g.ask("another target answered")
 		return hop.Refused{Cause: hop.NotHere, Load: g.loadFor(c)}
 	case v.NotRun:
 		s.end(true, true)
@@ -381,18 +371,6 @@
 	}
 }
 
-// replaced notes that another target answers at the address.
-func (g *Gate) replaced(s *slot) {
-	now := g.deps.Now()
-	g.mu.Lock()
-	before := g.life.Occupant()
-	changed := g.life.Replaced(s.at.ID)
-	g.settle(before, now)
-	g.mu.Unlock()
-	g.report("another target answered", before, changed)
-	g.ask("another target answered")
-}
-
 // note takes what the target says of its load.
 func (g *Gate) note(l TargetLoad) {
 	if l.Slots <= 0 {
--- a/gate/gate.go
+++ b/gate/gate.go
@@ -95,13 +95,11 @@
 
 // Hear takes a heartbeat.
 func (g *Gate) Hear(h lifecycle.Heartbeat) {
-	now := g.deps.Now()
-	g.mu.Lock()
-	before := g.life.Occupant()
-	changed, doubt := g.life.Hear(h, now)
-	g.settle(before, now)
-	g.mu.Unlock()
-	g.report("heartbeat", before, changed)
+	doubt := false
+	g.change("heartbeat", func(l *lifecycle.Life) (changed bool) {
+		changed, doubt = l.Hear(h, g.deps.Now())
+		return changed
+	})
 	if doubt {
 		g.ask("first heartbeat")
 	}
@@ -109,24 +107,22 @@
 
 // Depart takes a target's word that it goes; calls are refused from the return on.
 func (g *Gate) Depart(id lifecycle.ID, born lifecycle.Born) {
-	now := g.deps.Now()
-	g.mu.Lock()
-	before := g.life.Occupant()
-	changed := g.life.Depart(id, born)
-	g.settle(before, now)
-	g.mu.Unlock()
-	g.report("departure", before, changed)
+	g.change("departure", func(l *lifecycle.Life) bool { return l.Depart(id, born) })
 }
 
 // Restore takes what an earlier process of this node has published of its target.
 func (g *Gate) Restore(id lifecycle.ID, born lifecycle.Born, s lifecycle.State) {
-	now := g.deps.Now()
+	g.change("own entry", func(l *lifecycle.Life) bool { return l.Restore(id, born, s) })
+}
+
+// change takes a step in the target's life and what follows from it.
+func (g *Gate) change(event string, step func(*lifecycle.Life) bool) {
 	g.mu.Lock()
 	before := g.life.Occupant()
-	changed := g.life.Restore(id, born, s)
-	g.settle(before, now)
+	changed := step(g.life)
+	g.settle(before, g.deps.Now())
 	g.mu.Unlock()
-	g.report("own entry", before, changed)
+	g.report(event, before, changed)
 }
 
 // settle brings queue and connections in line with the occupant; it is called with mu held.
@@ -173,16 +169,12 @@
 	g.mu.Unlock()
 	go func() {
 		h, err := g.check(string(address), path)
-		now := g.deps.Now()
-		g.mu.Lock()
-		g.asking = false
-		before := g.life.Occupant()
-		changed := err == nil && g.life.Health(h.ID, h.Healthy, h.Load.Slots, g.service, address)
-		g.settle(before, now)
-		g.mu.Unlock()
 		g.meters.checks.Inc()
 		g.deps.Log.Info("health check", "why", why, "address", address, "instance", h.ID, "healthy", h.Healthy, "error", err)
-		g.report("health check", before, changed)
+		g.change("health check", func(l *lifecycle.Life) bool {
+			g.asking = false
+			return err == nil && l.Health(h.ID, h.Healthy, h.Load.Slots, g.service, address)
+		})
 	}()
 }
 
--- a/hop/call.go
+++ b/hop/call.go
@@ -43,11 +43,12 @@
 	Rank       Rank
 	Repeatable bool
 	Repeat     bool // an earlier attempt may have reached a target
-	Hasty      bool // another target may be tried if the node gives no sign
-	Patience   Patience
-	Here       bool      // the caller is on the target's VM
-	Aim        time.Time // an answer is of full use until then
-	Deadline   time.Time
+	// GiveUp is asked when the node gives no sign for a while; only if it agrees is the attempt broken off. It may be nil.
+	GiveUp   func() bool
+	Patience Patience
+	Here     bool      // the caller is on the target's VM
+	Aim      time.Time // an answer is of full use until then
+	Deadline time.Time
 }
 
 // Load is what a gate says of its target; each outcome brings it.
--- a/hop/line.go
+++ b/hop/line.go
@@ -81,7 +81,7 @@
 func (l *Lines) carry(ctx context.Context, cancel context.CancelCauseFunc, to fleet.Address, c *Call) Outcome {
 	pool := l.pool(to)
 	silence := time.AfterFunc(silenceLimit, func() {
-		if c.Hasty {
+		if c.GiveUp != nil && c.GiveUp() {
 			cancel(errSilent)
 		}
 	})
