lifecycle, dispatch: remove a field and a parameter that nobody reads

Found by reading the change once more: Occupant.confirmed was only written, and the route given to the dispatcher's histogram was not used. Behaviour stays; vet and the tests of lifecycle, dispatch and gate pass.

--- a/dispatch/dispatch.go
+++ b/dispatch/dispatch.go
@@ -113,7 +113,7 @@
 	} else {
 		cancel()
 	}
-	d.meters.outcome(rule.Name, x.call.Service, o, d.deps.Now().Sub(in.Came))
+	d.meters.outcome(x.call.Service, o, d.deps.Now().Sub(in.Came))
 	return o
 }
 
--- a/dispatch/meters.go
+++ b/dispatch/meters.go
@@ -21,8 +21,8 @@
 	return &meters{set: set, repeats: set.GetOrCreateCounter("cassialead_repeats_total")}
 }
 
-// outcome records a request's outcome; routes that share a service and an outcome share a histogram, as routes are many.
-func (m *meters) outcome(_ config.RouteName, s config.ServiceName, o hop.Outcome, took time.Duration) {
+// outcome records a request's outcome.
+func (m *meters) outcome(s config.ServiceName, o hop.Outcome, took time.Duration) {
 	label := ""
 	switch o := o.(type) {
 	case *hop.Answered:
--- a/lifecycle/life.go
+++ b/lifecycle/life.go
@@ -39,15 +39,14 @@
 
 // Occupant is the target that a node holds to be beside it.
 type Occupant struct {
-	ID        ID
-	Born      Born
-	Service   config.ServiceName
-	Address   fleet.Address
-	Slots     int
-	State     State
-	WarmAt    time.Time
-	sequence  uint64
-	confirmed bool // a heartbeat after the first, or a health check, has proved that it lives
+	ID       ID
+	Born     Born
+	Service  config.ServiceName
+	Address  fleet.Address
+	Slots    int
+	State    State
+	WarmAt   time.Time
+	sequence uint64
 }
 
 // Same reports whether o is the same start of the same target.
@@ -102,7 +101,7 @@
 		l.now.State = Leaving
 		l.remember(h.ID, h.Born)
 	case l.now.State == Down, l.now.State == Unknown && !first:
-		l.now.State, l.now.confirmed = Open, true
+		l.now.State = Open
 	}
 	return l.now.State != before.State || l.now.Slots != before.Slots || l.now.Address != before.Address || l.now.Born != before.Born, false
 }
@@ -117,7 +116,7 @@
 		l.remember(h.ID, h.Born)
 	case known:
 		// A later start than the one that this process has seen can't have left before.
-		l.now.State, l.now.confirmed = Open, true
+		l.now.State = Open
 	default:
 		return true, true
 	}
@@ -158,10 +157,10 @@
 	}
 	switch {
 	case l.now.ID == "":
-		l.now = Occupant{ID: id, Service: service, Address: address, Slots: slots, State: Open, confirmed: true}
+		l.now = Occupant{ID: id, Service: service, Address: address, Slots: slots, State: Open}
 		return true
 	case l.now.ID == id && (l.now.State == Unknown || l.now.State == Down):
-		l.now.State, l.now.confirmed = Open, true
+		l.now.State = Open
 		return true
 	}
 	return false
