gate: send bulk answers one after the other on a VM's link

Pieces of all answers took turns on the link, so that answers which were admitted to be in time became late together.

The answer with the earliest aim goes whole, those that can't be in time any more go last. A timer that fires late is made up for by the pieces after it, where the link's time was lost before.

Ruled out: compressing answers between nodes.

--- a/agent/agent.go
+++ b/agent/agent.go
@@ -70,7 +70,7 @@
 	a.heard.Store(int64(-freshTime)) // not yet
 	a.board = dispatch.NewBoard(dispatch.Place{Node: cfg.VM, DataCentre: cfg.DataCentre, Region: cfg.Region})
 	a.budget = dispatch.NewBudget(dispatch.RepeatBounds{Ratio: cfg.RepeatRatio, Slack: cfg.RepeatSlack, Window: cfg.RepeatWindow})
-	a.gate = gate.New(gate.Deps{Uplink: gate.NewUplink(cfg.LinkBits, deps.Now), Dialect: platform.Dialect{}, Log: deps.Log, Metrics: deps.Metrics, Now: deps.Now, Changed: a.targetChanged},
+	a.gate = gate.New(gate.Deps{Uplink: gate.NewUplink(cfg.LinkRate, deps.Now), Dialect: platform.Dialect{}, Log: deps.Log, Metrics: deps.Metrics, Now: deps.Now, Changed: a.targetChanged},
 		cfg.Service, cfg.Target)
 	a.dispatcher = dispatch.New(dispatch.Deps{Board: a.board, Carrier: a.lines, Local: a.gate, Budget: a.budget, Log: deps.Log,
 		Metrics: deps.Metrics, Now: deps.Now})
--- a/fleet/record.go
+++ b/fleet/record.go
@@ -18,6 +18,9 @@
 // Region names a region.
 type Region string
 
+// BitRate is what a link carries, in bits a second.
+type BitRate float64
+
 // Address is an IP address with a port.
 type Address string
 
--- a/gate/carry.go
+++ b/gate/carry.go
@@ -154,7 +154,7 @@
 		}
 		g.running[c.ID]++
 		if size := g.sizes[c.Route]; !c.Here && size >= BulkSize {
-			s.claim = g.deps.Uplink.Reserve(int(size))
+			s.claim = g.deps.Uplink.Reserve(int(size), c.Aim)
 		}
 		return s, nil
 	case Turned:
@@ -359,7 +359,7 @@
 		s.claim.Set(0)
 	default:
 		if s.claim == nil {
-			s.claim = g.deps.Uplink.Reserve(size)
+			s.claim = g.deps.Uplink.Reserve(size, c.Aim)
 		}
 		s.claim.Set(size)
 		out.Send = func(ctx context.Context, bytes int) { g.deps.Uplink.Wait(ctx, s.claim, bytes) }
--- a/gate/uplink.go
+++ b/gate/uplink.go
@@ -2,18 +2,24 @@
 
 import (
 	"context"
+	"slices"
 	"sync"
 	"time"
+
+	"github.com/cassialead/cassialead/fleet"
 )
 
 const (
 	// BulkSize is the size from which an answer is sent piece by piece, in bytes; smaller ones go ahead of it.
 	BulkSize    = 8 << 10
-	uplinkShare = 0.85 // of the VM's link, which bulk answers may fill; the rest is for what can't be seen from here
+	bitsPerByte = 8
+	uplinkShare = 0.85                  // of the VM's link, which bulk answers may fill; the rest is for what can't be seen from here
+	catchUp     = 20 * time.Millisecond // of a late timer that the pieces after it make up for; a frozen process makes up for no more
 )
 
-// Uplink orders what a VM's link carries to other VMs, so that short answers never queue behind long ones in the network.
-// It is safe for concurrent use.
+// Uplink orders what a VM's link carries to other VMs: short answers never queue behind long ones in the network, and of the
+// long ones that which has to be there first is sent whole before the next. Sharing the link among all of them would make
+// all late on a link that is full. It is safe for concurrent use.
 type Uplink struct {
 	now  func() time.Time
 	rate float64 // bytes a second; zero means that nothing is ordered
@@ -21,20 +27,30 @@
 	mu      sync.Mutex
 	free    time.Time // when what was taken so far has left
 	pending int       // bytes of bulk answers that are expected or wait for their turn
+	waiting []*piece
+	armed   bool // a timer will look at waiting
 }
 
 // Reservation is a bulk answer's claim on the link; the nil reservation claims nothing.
 type Reservation struct {
 	u    *Uplink
+	aim  time.Time // an answer is of full use until then
 	left int
 }
 
+// piece is a part of a bulk answer that waits for its turn.
+type piece struct {
+	r     *Reservation
+	bytes int
+	turn  chan struct{}
+}
+
 // Reserve counts an answer of so many bytes before it is there, so that the backlog tells of it.
-func (u *Uplink) Reserve(bytes int) *Reservation {
+func (u *Uplink) Reserve(bytes int, aim time.Time) *Reservation {
 	u.mu.Lock()
 	defer u.mu.Unlock()
 	u.pending += bytes
-	return &Reservation{u, bytes}
+	return &Reservation{u, aim, bytes}
 }
 
 // Set corrects the size of the answer; zero ends the claim.
@@ -48,9 +64,9 @@
 	r.left = bytes
 }
 
-// NewUplink returns the order for a link of so many bits a second; zero means that it is not known.
-func NewUplink(bits float64, now func() time.Time) *Uplink {
-	return &Uplink{now: now, rate: bits / 8 * uplinkShare}
+// NewUplink returns the order for a link; a rate of zero means that it is not known.
+func NewUplink(r fleet.BitRate, now func() time.Time) *Uplink {
+	return &Uplink{now: now, rate: float64(r) / bitsPerByte * uplinkShare}
 }
 
 // Backlog returns how long the bytes taken so far still need.
@@ -72,37 +88,84 @@
 func (u *Uplink) Note(bytes int) {
 	u.mu.Lock()
 	defer u.mu.Unlock()
-	u.take(bytes)
+	u.rest(u.now())
+	u.free = u.free.Add(u.Time(bytes))
 }
 
 // Wait counts the bytes of a piece of a bulk answer against its claim and waits until they may be sent, or until ctx ends.
 func (u *Uplink) Wait(ctx context.Context, r *Reservation, bytes int) {
+	if u.rate == 0 {
+		return
+	}
+	p := &piece{r, bytes, make(chan struct{})}
 	u.mu.Lock()
-	wait := u.take(bytes)
-	if r != nil {
-		claimed := min(bytes, r.left)
-		r.left -= claimed
-		u.pending -= claimed
+	u.waiting = append(u.waiting, p)
+	if len(u.waiting) == 1 {
+		u.rest(u.now())
 	}
+	u.grant()
 	u.mu.Unlock()
-	if wait <= 0 {
-		return
-	}
-	t := time.NewTimer(wait)
-	defer t.Stop()
 	select {
-	case <-t.C:
+	case <-p.turn:
 	case <-ctx.Done():
+		u.mu.Lock()
+		u.waiting = slices.DeleteFunc(u.waiting, func(o *piece) bool { return o == p })
+		u.mu.Unlock()
 	}
 }
 
-// take returns how long the bytes have to wait; it is called with mu held.
-func (u *Uplink) take(bytes int) time.Duration {
+// grant lets pieces go as long as the link has room for them; it is called with mu held.
+func (u *Uplink) grant() {
 	now := u.now()
-	if u.free.Before(now) {
-		u.free = now
+	u.rest(now.Add(-catchUp))
+	for len(u.waiting) > 0 && !u.free.After(now) {
+		i := u.first(now)
+		p := u.waiting[i]
+		u.waiting = slices.Delete(u.waiting, i, i+1)
+		u.free = u.free.Add(u.Time(p.bytes))
+		if p.r != nil {
+			claimed := min(p.bytes, p.r.left)
+			p.r.left -= claimed
+			u.pending -= claimed
+		}
+		close(p.turn)
+	}
+	if len(u.waiting) == 0 || u.armed {
+		return
+	}
+	u.armed = true
+	time.AfterFunc(u.free.Sub(now), func() {
+		u.mu.Lock()
+		defer u.mu.Unlock()
+		u.armed = false
+		u.grant()
+	})
+}
+
+// first returns the index of the piece that goes next: of the answers that can still be in time that with the earliest aim,
+// then the others.
+func (u *Uplink) first(now time.Time) int {
+	best := 0
+	for i := 1; i < len(u.waiting); i++ {
+		a, b := u.waiting[i].r, u.waiting[best].r
+		if a == nil || b == nil {
+			continue
+		}
+		if lateA, lateB := u.late(now, a), u.late(now, b); lateA != lateB && lateB || lateA == lateB && a.aim.Before(b.aim) {
+			best = i
+		}
+	}
+	return best
+}
+
+// late reports whether an answer will miss its aim even if nothing else is sent.
+func (u *Uplink) late(now time.Time, r *Reservation) bool {
+	return now.Add(u.Time(r.left)).After(r.aim)
+}
+
+// rest notes that the link was idle until a time.
+func (u *Uplink) rest(until time.Time) {
+	if u.free.Before(until) {
+		u.free = until
 	}
-	wait := u.free.Sub(now)
-	u.free = u.free.Add(u.Time(bytes))
-	return wait
 }
--- a/gate/uplink_test.go
+++ b/gate/uplink_test.go
@@ -33,7 +33,7 @@
 	It("tells of answers that are expected, and of each byte once", func() {
 		now := start
 		u := gate.NewUplink(8e6, func() time.Time { return now })
-		r := u.Reserve(85_000)
+		r := u.Reserve(85_000, start)
 		Expect(u.Backlog()).To(Equal(100 * time.Millisecond))
 		u.Wait(context.Background(), r, 8_500)
 		Expect(u.Backlog()).To(Equal(100 * time.Millisecond))
@@ -51,6 +51,36 @@
 		u.Wait(ctx, nil, 1000)
 		Expect(time.Since(begun)).To(BeNumerically("<", time.Second))
 	})
+	It("sends the answer that has to be there first whole before the next, and late ones last", func() {
+		u := gate.NewUplink(8e6, time.Now)
+		begun := time.Now()
+		u.Note(17_000) // 20 ms in which all of them come
+		aims := map[string]time.Duration{"late": 10 * time.Millisecond, "third": 900 * time.Millisecond, "first": 300 * time.Millisecond, "second": 600 * time.Millisecond}
+		type end struct {
+			name string
+			at   time.Duration
+		}
+		ends := make(chan end, len(aims))
+		for name, aim := range aims {
+			r := u.Reserve(42_500, begun.Add(aim))
+			go func() {
+				for range 5 {
+					u.Wait(context.Background(), r, 8500)
+				}
+				ends <- end{name, time.Since(begun)}
+			}()
+		}
+		var order []string
+		var first time.Duration
+		for range aims {
+			e := <-ends
+			if order = append(order, e.name); len(order) == 1 {
+				first = e.at
+			}
+		}
+		Expect(order).To(Equal([]string{"first", "second", "third", "late"}))
+		Expect(first).To(BeNumerically("<", 150*time.Millisecond), "220 ms if they shared the link")
+	})
 	It("orders nothing on a link that is not known", func() {
 		u := gate.NewUplink(0, time.Now)
 		u.Note(1 << 30)
--- a/settings/agent.go
+++ b/settings/agent.go
@@ -33,8 +33,8 @@
 	RepeatWindow time.Duration
 	// MemoryBytes is the memory that the process may use.
 	MemoryBytes int64
-	// LinkBits is what the VM's link carries a second; zero means that it is not known.
-	LinkBits float64
+	// LinkRate is what the VM's link carries; zero means that it is not known.
+	LinkRate fleet.BitRate
 	// MinLease is the shortest lease that the store grants.
 	MinLease time.Duration
 }
