member: let the nodes with the widest links pass the news on

A node publishes its link's rate, and the tree is ordered by it before the hash. Test: of 40 nodes the four wide ones carry all news; before, narrow ones did.

--- a/member/record.go
+++ b/member/record.go
@@ -20,6 +20,7 @@
 	DataCentre  fleet.DataCentre  `json:"dc"`
 	Region      fleet.Region      `json:"region"`
 	Address     fleet.Address     `json:"addr"`              // takes requests of other nodes
+	Link        fleet.BitRate     `json:"link,omitempty"`    // what the VM's link carries a second; zero means that it is not known
 	Leaving     bool              `json:"leaving,omitempty"` // the node ends
 	Target      Target            `json:"target,omitzero"`
 }
--- a/member/tree.go
+++ b/member/tree.go
@@ -21,7 +21,8 @@
 }
 
 // Locate returns a node's place. Two heads in a region follow the store and each other. Within a data centre the nodes
-// form a tree by hash, and the roots of the data centres hang under the first head. All nodes that know the same members
+// form a tree, those with the widest links first and by hash among equals, since a configuration passes the link of a parent
+// once for each child; the roots of the data centres hang under the first head. All nodes that know the same members
 // see the same tree; usable leaves out those that can't be followed. A node that is not usable itself, since it is cut off
 // from the store, follows another one.
 func Locate(members []Member, self fleet.NodeID, usable func(fleet.NodeID) bool) Place {
@@ -42,7 +43,7 @@
 		}
 	}
 	for dc, ms := range byCentre {
-		slices.SortFunc(ms, compareHash)
+		slices.SortFunc(ms, compareReach)
 		roots = append(roots, ms[0])
 		if dc == me.DataCentre {
 			centre = ms
@@ -51,7 +52,7 @@
 	if len(roots) == 0 {
 		return Place{}
 	}
-	slices.SortFunc(roots, compareHash)
+	slices.SortFunc(roots, compareReach)
 	heads := roots[:min(len(roots), 2)]
 	if len(roots) == 1 {
 		centre = byCentre[roots[0].DataCentre]
@@ -76,6 +77,8 @@
 	return Place{Parent: &heads[0]}
 }
 
-func compareHash(a, b Member) int {
-	return cmp.Or(cmp.Compare(xxhash.Sum64String(string(a.Node)), xxhash.Sum64String(string(b.Node))), cmp.Compare(a.Node, b.Node))
+// compareReach orders nodes by how well they can pass news on.
+func compareReach(a, b Member) int {
+	return cmp.Or(cmp.Compare(b.Link, a.Link), cmp.Compare(xxhash.Sum64String(string(a.Node)), xxhash.Sum64String(string(b.Node))),
+		cmp.Compare(a.Node, b.Node))
 }
--- a/member/view_test.go
+++ b/member/view_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"time"
 
 	. "github.com/onsi/ginkgo/v2"
@@ -148,4 +149,32 @@
 		}
 		Fail("c still follows somebody")
 	})
+
+	It("lets the widest links carry the news, and follows narrow ones when no wide one is left", func() {
+		var members []member.Member
+		for i := range 40 {
+			r := at(record(fleet.NodeID(fmt.Sprintf("node-%d", i)), 1, 1), fleet.Address(fmt.Sprintf("192.0.2.1:%d", i)))
+			r.DataCentre, r.Link = fleet.DataCentre(fmt.Sprintf("dc-%d", i%2)), 7e6
+			if i >= 36 {
+				r.Link = 140e6
+			}
+			members = append(members, member.Member{Record: r})
+		}
+		narrow := map[fleet.NodeID]int{}
+		for _, m := range members {
+			p := member.Locate(members, m.Node, all)
+			if p.Parent != nil && p.Parent.Link < 140e6 {
+				narrow[p.Parent.Node]++
+			}
+			if p.Parent == nil {
+				Expect(m.Link).To(Equal(fleet.BitRate(140e6)), "%s is a head", m.Node)
+			}
+		}
+		Expect(narrow).To(BeEmpty())
+		wide := func(n fleet.NodeID) bool {
+			return slices.Contains([]fleet.NodeID{"node-36", "node-37", "node-38", "node-39"}, n)
+		}
+		p := member.Locate(members, "node-0", func(n fleet.NodeID) bool { return !wide(n) })
+		Expect(p.Parent != nil || p.Sibling != nil).To(BeTrue())
+	})
 })
