feed: pass on a configuration at most every 300 ms on a line

In a storm each version went to each child and to the other head, which unpacked it and compared versions afterwards. A line now carries the version beside the packed configuration, one that is not newer is not unpacked, and versions in quick succession are skipped. As long as one is held back the news do not claim to be complete up to the store's revision.

--- a/agent/follow.go
+++ b/agent/follow.go
@@ -23,6 +23,7 @@
 	deafTime      = 300 * time.Millisecond // without the store, after which a head gives up its place
 	relayTime     = 300 * time.Millisecond // without the store, after which a child leaves a parent that is no head
 	parentPeriod  = time.Second            // between two looks at whether another parent has come
+	planPace      = 300 * time.Millisecond // between two configurations on one line; three levels stay within the two seconds of a change
 )
 
 var errDeaf = errors.New("the parent is cut off from the store")
@@ -107,7 +108,9 @@
 		switch {
 		case n.Age < freshTime:
 			deafSince = time.Time{}
-			a.revision.Store(uint64(n.Revision))
+			if n.Revision > 0 {
+				a.revision.Store(uint64(n.Revision))
+			}
 		case n.Deaf:
 			return errDeaf
 		case deafSince.IsZero():
@@ -164,7 +167,7 @@
 
 // takeFeed takes news from a parent.
 func (a *Agent) takeFeed(n feed.News, from string) {
-	a.takePacked(n.Plan, from)
+	a.takePacked(n.Plan, n.Version, from)
 	if !n.Full && len(n.Members) == 0 && len(n.Gone) == 0 {
 		return
 	}
@@ -219,9 +222,14 @@
 	a.merge([]member.Record{hello.Child}, false)
 	a.deps.Log.Info("child", "child", hello.Child.Node, "plan", hello.Plan)
 	plan, revision, full := hello.Plan, uint64(0), true
+	var planSent time.Time
 	for !a.stopping.Load() {
-		n, changed := a.newsSince(&revision, &plan, full)
+		due := a.deps.Now().Sub(planSent) >= planPace
+		n, changed := a.newsSince(&revision, &plan, full, due)
 		full = false
+		if len(n.Plan) > 0 {
+			planSent = a.deps.Now()
+		}
 		if err := l.Send(n); err != nil {
 			a.deps.Log.Info("child lost", "child", hello.Child.Node, "error", err)
 			return
@@ -234,8 +242,9 @@
 	}
 }
 
-// newsSince returns what a child does not know, and a channel that is closed at the next change.
-func (a *Agent) newsSince(revision *uint64, plan *config.Version, full bool) (feed.News, <-chan struct{}) {
+// newsSince returns what a child does not know, and a channel that is closed at the next change. A configuration is among
+// the news only if one is due.
+func (a *Agent) newsSince(revision *uint64, plan *config.Version, full, due bool) (feed.News, <-chan struct{}) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	self := a.cfg.Load().VM
@@ -248,8 +257,12 @@
 	for _, m := range changed {
 		n.Members = append(n.Members, feed.Entry{Record: m.Record, Unlisted: m.Unlisted})
 	}
-	if v := a.version(); v > *plan {
-		n.Plan, *plan = a.pack(), v
+	switch v := a.version(); {
+	case v <= *plan:
+	case due:
+		n.Plan, n.Version, *plan = a.pack(), v, v
+	default:
+		n.Revision = 0
 	}
 	return n, a.changed
 }
@@ -266,9 +279,9 @@
 	return a.packed
 }
 
-// takePacked takes a configuration that another node has packed, if there is one.
-func (a *Agent) takePacked(packed []byte, from string) {
-	if len(packed) == 0 {
+// takePacked takes a configuration that another node has packed, if there is one and it is newer.
+func (a *Agent) takePacked(packed []byte, v config.Version, from string) {
+	if len(packed) == 0 || v <= a.version() {
 		return
 	}
 	plan, err := feed.Expand(packed)
--- a/agent/peer.go
+++ b/agent/peer.go
@@ -136,6 +136,7 @@
 // news is what a node tells another that the store does not answer.
 type news struct {
 	Plan    []byte          `json:"plan,omitempty"` // compressed
+	Version config.Version  `json:"version,omitempty"`
 	Records []member.Record `json:"records,omitempty"`
 	Digest  uint64          `json:"digest"` // of all records that the teller holds
 }
@@ -146,8 +147,8 @@
 	defer a.mu.Unlock()
 	members := a.view.Members()
 	n := news{Digest: member.Digest(members)}
-	if a.version() > held {
-		n.Plan = a.pack()
+	if v := a.version(); v > held {
+		n.Plan, n.Version = a.pack(), v
 	}
 	if n.Digest != digest {
 		for _, m := range members {
@@ -158,7 +159,7 @@
 }
 
 func (a *Agent) takeNews(n news, from string) {
-	a.takePacked(n.Plan, from)
+	a.takePacked(n.Plan, n.Version, from)
 	a.merge(n.Records, false)
 	if len(n.Records) > 0 {
 		a.listed.Store(true)
--- a/feed/news.go
+++ b/feed/news.go
@@ -32,13 +32,14 @@
 	From    fleet.NodeID
 	Members []Entry
 	Gone    []member.Record
-	Plan    []byte // a newer configuration, compressed
+	Plan    []byte         // a newer configuration, compressed
+	Version config.Version // of Plan
 	// Age is how long ago the store was heard of on the way of these news. It grows from node to node, so that nodes that
 	// follow each other in a circle find out that nobody hears the store.
 	Age time.Duration
 	// Deaf says that the sender is a head that is cut off from the store: another one has to take its place.
 	Deaf bool
-	// Revision is the store's revision that the news are complete up to.
+	// Revision is the store's revision that the news are complete up to; zero says that a newer configuration follows later.
 	Revision store.Revision
 }
 
