--- a/agent/agent.go
+++ b/agent/agent.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"encoding/json"
 	"log/slog"
 	"net"
 	"net/http"
@@ -47,7 +46,7 @@
 
 	mu      sync.Mutex // guards what follows up to avoided
 	view    *member.View
-	rawPlan json.RawMessage
+	rawPlan []byte
 	packed  []byte        // rawPlan as children get it; nil until one asks
 	changed chan struct{} // closed at the next change of view or rawPlan
 	avoided map[fleet.NodeID]time.Time
--- a/agent/agent_test.go
+++ b/agent/agent_test.go
@@ -174,14 +174,18 @@
 }
 
 func plan(version int, prefix, service string) []byte {
-	rule := func(name, prefix, kind, service string) map[string]any {
-		return map[string]any{"name": name, "prefix": prefix, "kind": kind, "timeoutS": 2, "targetLatencyS": 0.6, "priority": 2, "maxAttempts": 2, "service": service}
+	route := func(name, prefix, kind, service string) []any {
+		return []any{name, "a.example", prefix, kind, 2, 0.6, 2, 2, service}
+	}
+	table := func(columns string, rows ...[]any) map[string]any {
+		return map[string]any{"columns": strings.Fields(columns), "rows": rows}
 	}
 	b, err := json.Marshal(map[string]any{
-		"version":      version,
-		"services":     []map[string]any{{"name": "stock", "healthPath": "/health", "maxConns": 120}, {"name": "orders", "healthPath": "/health", "maxConns": 120}},
-		"limits":       map[string]any{"maxHeaderBytes": 16384, "maxBodyBytes": 1 << 20, "headerTimeoutS": 3, "idleTimeoutS": 15},
-		"virtualHosts": []map[string]any{{"host": "a.example", "paths": []any{rule("r", prefix, "safe", service), rule("o", "/orders/", "unsafe", "orders")}}},
+		"version":  version,
+		"services": table("name healthPath maxConns", []any{"stock", "/health", 120}, []any{"orders", "/health", 120}),
+		"limits":   map[string]any{"maxHeaderBytes": 16384, "maxBodyBytes": 1 << 20, "headerTimeoutS": 3, "idleTimeoutS": 15},
+		"routes": table("name host prefix kind timeoutS targetLatencyS priority maxAttempts service",
+			route("r", prefix, "safe", service), route("o", "/orders/", "unsafe", "orders")),
 	})
 	Expect(err).NotTo(HaveOccurred())
 	return b
@@ -257,7 +261,7 @@
 			Eventually(n.status("/new/1")).WithTimeout(2 * time.Second).Should(Equal(200))
 		}
 		s.store.Put("op/config", plan(4, "/old/", "stock"))
-		s.store.Put("op/config", []byte(`{"version":9,"virtualHosts":`))
+		s.store.Put("op/config", []byte(`{"version":9,"routes":`))
 		Consistently(s.nodes[2].status("/new/1")).WithTimeout(time.Second).Should(Equal(200))
 	})
 	It("take a new configuration though both heads are turned away by the store", func() {
