agent: send the head of an answer that waits for the link; read the state in a storm

An answer that waited 450 ms for its turn looked like a dead node: its call was broken off, repeated, and the node avoided. The head goes at once now. This was there before the order on the link, which made it frequent.

Also: once a watch brings more than one configuration, the state is read until the storm is over, since a watch brings each version whole, and two heads far from the store fill the link between the regions with them.

Ruled out: processor time (cores at most 0.03 of 0.16), a full queue at the gate (running 2 to 9, none waiting).

Tests that failed first: two long answers on a link of 800 kbit/s (504 before); 40 versions in 0.8 s are sent less than 40 times to two heads.

--- a/agent/agent.go
+++ b/agent/agent.go
@@ -58,6 +58,7 @@
 	heard    atomic.Int64  // when the store was last heard of on any way, Unix nanoseconds
 	touching atomic.Bool   // that was recent, when it was last looked at
 	revision atomic.Uint64 // the store's revision up to which this node has heard everything
+	storm    bool          // configurations come faster than they are read; feed alone uses it
 	inflight inflight
 	servers  []*http.Server
 }
--- a/agent/agent_test.go
+++ b/agent/agent_test.go
@@ -10,6 +10,7 @@
 	"net/http"
 	"os"
 	"strings"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -110,7 +111,10 @@
 	nodes []*node
 }
 
-func newSite(services ...string) *site {
+func newSite(services ...string) *site { return newSiteWith(func(*settings.Agent) {}, services...) }
+
+// newSiteWith starts nodes whose settings are changed before.
+func newSiteWith(change func(*settings.Agent), services ...string) *site {
 	s := &site{store: standin.NewStore()}
 	DeferCleanup(s.store.Close)
 	s.store.Put("op/config", plan(1, "/stock/", "stock"))
@@ -120,6 +124,7 @@
 			Ready: freePort(), Local: freePort(), Service: config.ServiceName(service), Target: fleet.Address(n.app.address),
 			Store: fleet.Address(s.store.Address()), Heartbeat: time.Second, Grace: 6 * time.Second, Drain: 2 * time.Second,
 			RepeatRatio: 0.2, RepeatSlack: 60, RepeatWindow: 10 * time.Second, MinLease: time.Second}
+		change(&n.cfg)
 		s.nodes = append(s.nodes, n)
 		s.start(n)
 	}
@@ -254,6 +259,46 @@
 		Expect(h.Get("Response-Signature")).To(Equal("s"))
 		Expect(s.nodes[1].status("/nowhere/")()).To(Equal(404))
 	})
+	It("read the newest configuration, not each one, when they come in quick succession", func() {
+		s := newSite("stock", "orders")
+		const versions, gap = 40, 20 * time.Millisecond
+		before := s.store.Sent("op/config")
+		for v := range versions {
+			s.store.Put("op/config", plan(10+v, fmt.Sprintf("/v%d/", v), "stock"))
+			time.Sleep(gap)
+		}
+		for _, n := range s.nodes {
+			Eventually(n.status(fmt.Sprintf("/v%d/1", versions-1))).WithTimeout(2 * time.Second).Should(Equal(200))
+		}
+		Expect(s.store.Sent("op/config")-before).To(BeNumerically("<", versions), "two heads would hear of all versions otherwise")
+		s.store.Put("op/config", plan(100, "/after/", "stock"))
+		for _, n := range s.nodes {
+			Eventually(n.status("/after/1")).WithTimeout(2 * time.Second).Should(Equal(200))
+		}
+	})
+	It("wait for a long answer that waits for its turn on a narrow link, and run its call once", func() {
+		const size, calls = 60_000, 4 // each answer takes 0.7 s; two of them are sent by each target's node
+		s := newSiteWith(func(cfg *settings.Agent) { cfg.LinkRate = 800e3 }, "stock", "stock", "orders")
+		body := strings.Repeat("x", size)
+		for _, n := range s.nodes {
+			n.app.fault.Store(func(w http.ResponseWriter, _ *http.Request) bool {
+				w.Header().Set("Response-Signature", "s")
+				_, _ = io.WriteString(w, body)
+				return true
+			})
+		}
+		var wg sync.WaitGroup
+		for range calls {
+			wg.Go(func() {
+				defer GinkgoRecover()
+				status, got, _ := s.nodes[2].call(http.MethodGet, "/stock/1", "")
+				Expect(status).To(Equal(200))
+				Expect(got).To(HaveLen(size))
+			})
+		}
+		wg.Wait()
+		Expect(s.nodes[0].app.runs.Load() + s.nodes[1].app.runs.Load()).To(Equal(int64(calls)))
+	})
 	It("take a new configuration everywhere, and never go back to an older one", func() {
 		s := newSite("stock", "orders", "stock", "orders")
 		s.store.Put("op/config", plan(5, "/new/", "stock"))
--- a/agent/feed.go
+++ b/agent/feed.go
@@ -95,24 +95,28 @@
 	a.deps.Log.Warn("store lost", "age", a.age(), "error", err)
 }
 
-// readStore reads everything, or waits for what comes after the revision that this node has heard of.
+// readStore reads everything, or waits for what comes after the revision that this node has heard of. A watch brings each
+// configuration of a storm, and all but the last of them for nothing; the state is read in its place until the storm is over.
 func (a *Agent) readStore(ctx context.Context, wait time.Duration) error {
 	after := store.Revision(a.revision.Load())
 	if after == 0 {
 		// The first list may be stale, which costs a tenth: what has changed since comes from the parent or is asked for next.
 		stale := !a.listed.Load()
+		before := a.version()
 		asOf, err := a.readAll(ctx, stale)
 		if err != nil {
 			return err
 		}
-		a.revision.Store(uint64(asOf))
+		if a.storm = a.storm && a.version() > before; !a.storm {
+			a.revision.Store(uint64(asOf))
+		}
 		a.listed.Store(true)
 		if !stale {
 			a.loaded.Store(true)
 		}
 		return nil
 	}
-	asOf, err := a.readChanges(ctx, after, wait)
+	asOf, plans, err := a.readChanges(ctx, after, wait)
 	switch {
 	case errors.Is(err, store.ErrCompacted):
 		a.deps.Log.Info("store history compacted", "after", after)
@@ -121,6 +125,9 @@
 	case err != nil:
 		return err
 	}
+	if a.storm = plans > 1; a.storm {
+		asOf = 0
+	}
 	a.revision.Store(uint64(asOf))
 	a.loaded.Store(true)
 	return nil
@@ -155,15 +162,25 @@
 	return append(records, a.registrar.current())
 }
 
-func (a *Agent) readChanges(ctx context.Context, after store.Revision, wait time.Duration) (store.Revision, error) {
+// readChanges takes the changes after a revision and returns how many configurations were among them.
+func (a *Agent) readChanges(ctx context.Context, after store.Revision, wait time.Duration) (asOf store.Revision, plans int, err error) {
 	items, asOf, err := a.deps.Store.Changes(ctx, platform.WatchPrefix, after, wait)
 	if err != nil {
-		return after, err
+		return after, 0, err
 	}
+	var newest store.Revision
 	for _, i := range items {
+		if i.Key == platform.PlanKey && !i.Deleted {
+			newest, plans = max(newest, i.Revision), plans+1
+		}
+	}
+	for _, i := range items {
+		if i.Key == platform.PlanKey && i.Revision < newest {
+			continue // a later one is here already
+		}
 		a.takeItem(i)
 	}
-	return asOf, nil
+	return asOf, plans, nil
 }
 
 // takeItem takes one change.
--- a/agent/peer.go
+++ b/agent/peer.go
@@ -81,13 +81,20 @@
 	writeAnswer(w, answered, status)
 }
 
-// pacedWriter sends pieces of an answer when the link has room for them.
+// pacedWriter sends the head of an answer at once, which tells the caller's node that the answer is there, and pieces of
+// the body when the link has room for them.
 type pacedWriter struct {
 	http.ResponseWriter
 	ctx  context.Context
 	send func(context.Context, int)
 }
 
+// WriteHeader sends the head.
+func (w *pacedWriter) WriteHeader(status int) {
+	w.ResponseWriter.WriteHeader(status)
+	_ = http.NewResponseController(w.ResponseWriter).Flush() // a broken connection shows at the body
+}
+
 // Write sends a piece of the body.
 func (w *pacedWriter) Write(p []byte) (int, error) {
 	sent := 0
