feed: a head that is turned away keeps its place while the other head hears the store

Node sidecar-llanos-arauca-8 was left by three parents in nine seconds.

A head gives up its place only once the store's last word is older than 1.8 s on all ways, and a child leaves it at its word.

Test: the store turns away each node in turn while a version comes every 100 ms; a node lagged by more than 1.5 s before.

--- a/agent/agent_test.go
+++ b/agent/agent_test.go
@@ -205,6 +205,18 @@
 	return resp.StatusCode == http.StatusOK
 }
 
+// version returns the version that the node has in force.
+func (n *node) version() int {
+	resp, err := http.Get("http://" + string(n.cfg.Link) + "/cassialead/ping")
+	Expect(err).NotTo(HaveOccurred())
+	defer func() { _ = resp.Body.Close() }()
+	var p struct {
+		Plan int `json:"plan"`
+	}
+	Expect(json.NewDecoder(resp.Body).Decode(&p)).To(Succeed())
+	return p.Plan
+}
+
 // beat sends a heartbeat and returns the status of its acknowledgement.
 func (n *node) beat(state string) int {
 	body := fmt.Sprintf(`{"born":%d,"address":%q,"info":{"service":%q,"version":"v1","zone":"z","slots":9},"status":{"state":%q,"sequence":%d,"coldLeftS":0}}`,
@@ -259,6 +271,31 @@
 		Expect(h.Get("Response-Signature")).To(Equal("s"))
 		Expect(s.nodes[1].status("/nowhere/")()).To(Equal(404))
 	})
+	It("stay in touch through the other head while the store turns one away", func() {
+		const apply, gap = 1500 * time.Millisecond, 100 * time.Millisecond // of the two seconds that a change may take, half a second is for narrow links
+		s := newSiteWith(func(cfg *settings.Agent) {
+			if cfg.VM == "vm-2" || cfg.VM == "vm-3" {
+				cfg.DataCentre = "costa-sur"
+			}
+		}, "stock", "orders", "stock", "orders")
+		version := 10
+		written := map[int]time.Time{}
+		for _, away := range s.nodes {
+			s.store.Fail(standin.Faults{Status: 429, Only: func(n string) bool { return n == string(away.cfg.VM) }})
+			for end := time.Now().Add(3500 * time.Millisecond); time.Now().Before(end); time.Sleep(gap) {
+				version++
+				s.store.Put("op/config", plan(version, "/stock/", "stock"))
+				written[version] = time.Now()
+				for _, n := range s.nodes {
+					if next, ok := written[n.version()+1]; ok {
+						Expect(time.Since(next)).To(BeNumerically("<", apply), "%s lags while %s is turned away", n.cfg.VM, away.cfg.VM)
+					}
+				}
+			}
+			s.store.Fail(standin.Faults{})
+			time.Sleep(settling)
+		}
+	})
 	It("read the newest configuration, not each one, when they come in quick succession", func() {
 		s := newSite("stock", "orders")
 		const versions, gap = 40, 20 * time.Millisecond
--- a/agent/feed.go
+++ b/agent/feed.go
@@ -19,12 +19,14 @@
 	firstPause  = 200 * time.Millisecond // after the store failed
 	longestStop = time.Second            // between two tries; entries are to be back within two seconds of the store's return
 
+	headAge = 1800 * time.Millisecond // of the store's last word, at which a head is cut off: a watch, the pause after it, two signs of the other head
+
 	maxLostParents = 2 // in a row, before the store is asked; two take less than the time in which a change has to be in force
 )
 
 // feed follows the configuration and the members: from a parent, or from the store at the heads of a region. A node that
-// has lost two parents in a row asks the store for what it may have missed; a head that is cut off from the store gives
-// up its place.
+// has lost two parents in a row asks the store for what it may have missed; a head that is cut off from the store, and does
+// not hear of it through the other head, gives up its place.
 func (a *Agent) feed(ctx context.Context) {
 	pause, lost := firstPause, 0
 	var cutOff time.Time
@@ -55,7 +57,7 @@
 			continue
 		case cutOff.IsZero():
 			cutOff = now
-		case now.Sub(cutOff) >= deafTime && a.listed.Load() && !a.outage():
+		case now.Sub(cutOff) >= deafTime && a.age() > headAge && a.listed.Load() && !a.outage():
 			a.avoid(a.cfg.Load().VM, avoidDeaf)
 		}
 		a.lookAtStore(err)
--- a/agent/follow.go
+++ b/agent/follow.go
@@ -20,7 +20,7 @@
 	gatherTime    = 20 * time.Millisecond  // in which changes are gathered before children hear of them
 	avoidFailed   = 3 * time.Second        // a parent that can't be reached
 	avoidDeaf     = 8 * time.Second        // a parent that is cut off from the store while this node is not
-	deafTime      = 300 * time.Millisecond // without the store, after which a head gives up its place
+	deafTime      = 300 * time.Millisecond // without an answer of the store, after which a head may give up its place
 	relayTime     = 300 * time.Millisecond // without the store, after which a child leaves a parent that is no head
 	parentPeriod  = time.Second            // between two looks at whether another parent has come
 	planPace      = 300 * time.Millisecond // between two configurations on one line; three levels stay within the two seconds of a change
@@ -106,13 +106,13 @@
 		a.hear(now.Add(-n.Age))
 		a.lookAtStore(errDeaf)
 		switch {
+		case n.Deaf:
+			return errDeaf
 		case n.Age < freshTime:
 			deafSince = time.Time{}
 			if n.Revision > 0 {
 				a.revision.Store(uint64(n.Revision))
 			}
-		case n.Deaf:
-			return errDeaf
 		case deafSince.IsZero():
 			deafSince = now
 		case now.Sub(deafSince) >= relayTime && !a.outage():
