soak: play random faults on nodes that run as processes of their own

Nodes run as separate processes beside stand-in targets, with loopback proxies in front of their links and of the store. A seed draws kills, pauses, stops, reloads, herds, cuts, silences, resets, store faults, revoked keys, compaction, sick, crashed and replaced targets and configuration changes, which overlap. Checked from outside: at most once, true refusals, own whole answers, the caller's service, departed targets, no older version, planned stops, recovery.

A node may be told the address under which others reach it, for forwarders between nodes.

--- a/agent/agent.go
+++ b/agent/agent.go
@@ -84,7 +84,7 @@
 func (a *Agent) record() member.Record {
 	cfg := a.cfg.Load()
 	o := a.gate.Occupant()
-	r := member.Record{Node: cfg.VM, DataCentre: cfg.DataCentre, Region: cfg.Region, Address: cfg.Link, Link: cfg.LinkRate,
+	r := member.Record{Node: cfg.VM, DataCentre: cfg.DataCentre, Region: cfg.Region, Address: cfg.Advertised, Link: cfg.LinkRate,
 		Leaving: a.refusing.Load()}
 	if o.ID != "" {
 		r.Target = member.Target{ID: o.ID, Born: o.Born, Service: o.Service, Slots: o.Slots, State: o.State,
--- a/agent/agent_test.go
+++ b/agent/agent_test.go
@@ -124,6 +124,7 @@
 			Ready: freePort(), Local: freePort(), Service: config.ServiceName(service), Target: fleet.Address(n.app.address),
 			Store: fleet.Address(s.store.Address()), Heartbeat: time.Second, Grace: 6 * time.Second, Drain: 2 * time.Second,
 			RepeatRatio: 0.2, RepeatSlack: 60, RepeatWindow: 10 * time.Second, MinLease: time.Second}
+		n.cfg.Advertised = n.cfg.Link
 		change(&n.cfg)
 		s.nodes = append(s.nodes, n)
 		s.start(n)
--- a/settings/agent.go
+++ b/settings/agent.go
@@ -14,6 +14,8 @@
 	Region     fleet.Region
 	// Call takes callers on the VM, Link other nodes, Ready readiness checks, Local the target's heartbeats.
 	Call, Link, Ready, Local fleet.Address
+	// Advertised is the address under which other nodes reach Link.
+	Advertised fleet.Address
 	// Metrics serves counters; it may be empty.
 	Metrics fleet.Address
 	// Service and Target are the target that the VM hosts.
--- /dev/null
+++ b/soak/soak_test.go
@@ -0,0 +1,66 @@
+package soak_test
+
+import (
+	"context"
+	"flag"
+	"fmt"
+	"os"
+	"testing"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"github.com/cassialead/cassialead/cmds"
+	"github.com/cassialead/cassialead/soak"
+)
+
+// nodeVariable makes the test's program run as a node.
+const nodeVariable = "CASSIALEAD_SOAK_NODE"
+
+var (
+	firstSeed = flag.Uint64("soak.seed", 1, "first seed of the soak")
+	seeds     = flag.Uint64("soak.seeds", 1, "number of seeds")
+	length    = flag.Duration("soak.length", 12*time.Second, "length of the troubles of each seed")
+)
+
+// regressions are the seeds that have failed, with their length and what was the cause.
+var regressions = map[string]struct {
+	seed   uint64
+	length time.Duration
+}{}
+
+func TestMain(m *testing.M) {
+	if os.Getenv(nodeVariable) != "" {
+		os.Exit(cmds.Run([]string{"platform"}, os.Stdout, os.Stderr))
+	}
+	os.Exit(m.Run())
+}
+
+func TestSoak(t *testing.T) {
+	RegisterFailHandler(Fail)
+	RunSpecs(t, "soak")
+}
+
+// play runs a seed and expects that all promises were kept.
+func play(seed uint64, length time.Duration) {
+	program, err := os.Executable()
+	Expect(err).NotTo(HaveOccurred())
+	log, err := os.Create(fmt.Sprintf("%s/soak-%d.log", os.TempDir(), seed))
+	Expect(err).NotTo(HaveOccurred())
+	defer func() { Expect(log.Close()).To(Succeed()) }()
+	r, err := soak.Run(context.Background(), soak.Options{Seed: seed, Length: length, Nodes: 6, Program: []string{program},
+		Env: []string{nodeVariable + "=1"}, Log: log})
+	Expect(err).NotTo(HaveOccurred())
+	GinkgoWriter.Println(r)
+	Expect(r.Breaches).To(BeEmpty(), "seed %d, log %s\n%s", seed, log.Name(), r)
+}
+
+var _ = Describe("a fleet under faults keeps its promises", func() {
+	for i := range *seeds {
+		It(fmt.Sprintf("seed %d", *firstSeed+i), func() { play(*firstSeed+i, *length) })
+	}
+	for name, c := range regressions {
+		It("the seed of: "+name, func() { play(c.seed, c.length) })
+	}
+})
