--- a/cmds/root.go
+++ b/cmds/root.go
@@ -97,7 +97,7 @@
 	flags.StringVar(&a.storeURL, "store", envOr("CASSIALEAD_STORE", defaultStore), "URL of the platform's key-value service")
 	flags.StringVar(&a.nodeAddress, "node", envOr("CASSIALEAD_NODE", ""), "local or link address of a node to ask")
 	flags.StringVar(&a.output, "output", "text", "text or json")
-	root.AddCommand(a.nodeCommand(), a.platformCommand(), a.whyCommand(), a.applyCommand(), a.checkCommand(), a.diffCommand(), a.showCommand(), a.historyCommand(),
+	root.AddCommand(a.nodeCommand(), a.platformCommand(), a.soakCommand(), a.whyCommand(), a.applyCommand(), a.checkCommand(), a.diffCommand(), a.showCommand(), a.historyCommand(),
 		a.rollbackCommand(), a.exceptionsCommand(), a.statusCommand(), a.explainCommand(), a.drainCommand(),
 		a.recoverCommand(), a.standinCommand(), a.demoCommand(), a.measureCommand(), a.versionCommand(), docsCommand())
 	return root
--- a/soak/caller.go
+++ b/soak/caller.go
@@ -24,13 +24,17 @@
 	callPatience = 2 * time.Second       // of a caller
 	callerLeaves = 0.03                  // share of the calls whose caller leaves before the answer
 	soakHost     = "soak.example"
-	safePrefix   = "/stock/"
-	oncePrefix   = "/orders/"
 	orderShare   = 0.4 // of the calls that may run only once
 )
 
 var callNumber atomic.Uint64
 
+// services are what the fleet's targets offer.
+var services = []config.ServiceName{"stock", "orders"}
+
+// prefixOf returns the prefix of the calls of a service that may run only once, or more often.
+func prefixOf(s config.ServiceName, once bool) string { return fmt.Sprintf("/%s-once-%v/", s, once) }
+
 // newCallID returns an id that tells the service of the caller's VM and how often the call may run.
 func newCallID(origin config.ServiceName, once bool) hop.CallID {
 	kind := "safe"
@@ -76,10 +80,11 @@
 	if rand.Float64() < callerLeaves {
 		time.AfterFunc(rand.N(longestWork), cancel)
 	}
-	body, method, path := "order "+string(id), http.MethodPost, oncePrefix
+	body, method := "order "+string(id), http.MethodPost
 	if !mayRunOnce(id) {
-		body, method, path = "", http.MethodGet, safePrefix
+		body, method = "", http.MethodGet
 	}
+	path := prefixOf(services[rand.IntN(len(services))], mayRunOnce(id))
 	planned := c.vm.stoppedCalmly()
 	status, got, signed, err := c.send(ctx, id, method, path+string(id), body)
 	switch {
--- a/soak/fleet.go
+++ b/soak/fleet.go
@@ -51,7 +51,6 @@
 	f := &Fleet{store: standin.NewStore(), book: NewBook(time.Now())}
 	f.nextPort.Store(firstPort + int64(os.Getpid()%20)*portsAhead)
 	f.writePlan()
-	services := []config.ServiceName{"stock", "orders"}
 	centres := []struct {
 		dc     fleet.DataCentre
 		region fleet.Region
@@ -134,12 +133,16 @@
 		return config.Rule{Name: config.RouteName(name), Host: soakHost, Prefix: prefix, Calls: calls, Timeout: routeTime, Aim: aimTime, Attempts: 2,
 			Parts: []config.Part{{Service: s, Weight: 1}}}
 	}
-	rules := []config.Rule{rule("stock", safePrefix, config.Idempotent, "stock"), rule("orders", oncePrefix, config.AtMostOnce, "orders")}
+	var rules []config.Rule
+	var offered []config.PlanService
+	for _, s := range services {
+		rules = append(rules, rule(string(s)+"-safe", prefixOf(s, false), config.Idempotent, s), rule(string(s)+"-once", prefixOf(s, true), config.AtMostOnce, s))
+		offered = append(offered, config.PlanService{Name: s, Health: healthPath, Connections: 100})
+	}
 	for v := config.Version(1); v <= n; v++ {
-		rules = append(rules, rule(fmt.Sprintf("version-%d", v), versionPrefix(v), config.Idempotent, "stock"))
+		rules = append(rules, rule(fmt.Sprintf("version-%d", v), versionPrefix(v), config.Idempotent, services[0]))
 	}
-	services := []config.PlanService{{Name: "stock", Health: healthPath, Connections: 100}, {Name: "orders", Health: healthPath, Connections: 100}}
-	f.store.Put(string(platform.PlanKey), platform.FormatPlan(n, services, rules))
+	f.store.Put(string(platform.PlanKey), platform.FormatPlan(n, offered, rules))
 }
 
 func versionPrefix(v config.Version) string { return fmt.Sprintf("/version-%d/", v) }
--- a/soak/run.go
+++ b/soak/run.go
@@ -17,6 +17,9 @@
 	"github.com/cassialead/cassialead/config"
 )
 
+// MinNodes is how many nodes a fleet has at least: one for each service.
+const MinNodes = 2
+
 // Options say what a run plays.
 type Options struct {
 	Seed   uint64
@@ -107,8 +110,8 @@
 		if !v.ready() {
 			return false
 		}
-		for _, prefix := range []string{safePrefix, oncePrefix} {
-			if status, err := f.probe(v, prefix); err != nil || status != http.StatusOK {
+		for _, s := range services {
+			if status, err := f.probe(v, prefixOf(s, false)); err != nil || status != http.StatusOK {
 				return false
 			}
 		}
