--- a/soak/fleet.go
+++ b/soak/fleet.go
@@ -208,10 +208,9 @@
 	case Compact:
 		f.store.Compact()
 	case Sick:
-		target := f.vms[t.VM].occupant()
-		target.Sicken(t.Sickness)
+		f.sicken(services[t.Service], t.Sickness)
 		wait(ctx, t.For)
-		target.Sicken(Sickness{})
+		f.sicken(services[t.Service], Sickness{})
 	case Crash:
 		return f.replace(f.vms[t.VM], func(old *Target) {
 			old.end()
@@ -228,6 +227,15 @@
 	return nil
 }
 
+// sicken changes how the targets of a service fail.
+func (f *Fleet) sicken(s config.ServiceName, how Sickness) {
+	for _, v := range f.vms {
+		if t := v.occupant(); t != nil && v.service == s {
+			t.Sicken(how)
+		}
+	}
+}
+
 // stop asks a node to end, and kills it after the grace time as the platform does.
 func (f *Fleet) stop(v *VM) {
 	v.mu.Lock()
--- a/soak/trouble.go
+++ b/soak/trouble.go
@@ -56,9 +56,9 @@
 // Compact makes the store forget its history.
 type Compact struct{}
 
-// Sick makes a target fail part of its calls.
+// Sick makes the targets of a service fail part of their calls; callers of a single sick one would soon be led around it.
 type Sick struct {
-	VM       int
+	Service  int // counted in services
 	Sickness Sickness
 	For      time.Duration
 }
@@ -168,7 +168,7 @@
 	case 11:
 		return Compact{}
 	case 12:
-		return Sick{vm, Sickness{LoseAnswers: 0.2 * rng.Float64(), Errors: 0.2 * rng.Float64(), Slow: 1 + 4*rng.Float64()}, lasts}
+		return Sick{vm % len(services), Sickness{LoseAnswers: 0.2 * rng.Float64(), Errors: 0.2 * rng.Float64(), Slow: 1 + 4*rng.Float64()}, lasts}
 	case 13:
 		return Crash{vm, lasts}
 	case 14:
