--- a/gate/uplink.go
+++ b/gate/uplink.go
@@ -14,6 +14,7 @@
 	BulkSize    = 8 << 10
 	bitsPerByte = 8
 	uplinkShare = 0.85                  // of the VM's link, which bulk answers may fill; the rest is for what can't be seen from here
+	lateYield   = time.Second           // by which a late answer lets others go first; clients give a call several aims of time
 	catchUp     = 20 * time.Millisecond // of a late timer that the pieces after it make up for; a frozen process makes up for no more
 )
 
@@ -142,25 +143,24 @@
 	})
 }
 
-// first returns the index of the piece that goes next: of the answers that can still be in time that with the earliest aim,
-// then the others.
+// first returns the index of the piece that goes next: that of the answer which has to be there first.
 func (u *Uplink) first(now time.Time) int {
 	best := 0
 	for i := 1; i < len(u.waiting); i++ {
-		a, b := u.waiting[i].r, u.waiting[best].r
-		if a == nil || b == nil {
-			continue
-		}
-		if lateA, lateB := u.late(now, a), u.late(now, b); lateA != lateB && lateB || lateA == lateB && a.aim.Before(b.aim) {
+		if a, b := u.waiting[i].r, u.waiting[best].r; a != nil && b != nil && u.due(now, a).Before(u.due(now, b)) {
 			best = i
 		}
 	}
 	return best
 }
 
-// late reports whether an answer will miss its aim even if nothing else is sent.
-func (u *Uplink) late(now time.Time, r *Reservation) bool {
-	return now.Add(u.Time(r.left)).After(r.aim)
+// due returns when an answer has to be there: its aim, or a while after it for one that will miss its aim in any case. Such
+// an answer gives way for that while only, for its work is done and its caller waits.
+func (u *Uplink) due(now time.Time, r *Reservation) time.Time {
+	if now.Add(u.Time(r.left)).After(r.aim) {
+		return r.aim.Add(lateYield)
+	}
+	return r.aim
 }
 
 // rest notes that the link was idle until a time.
