--- a/agent/feed.go
+++ b/agent/feed.go
@@ -16,6 +16,8 @@
 const (
 	watchWait   = time.Second            // of one watch; a watch that hears nothing any more is replaced soon
 	watchPace   = 250 * time.Millisecond // between two watches, so that a storm of changes costs few calls
+	loneTime    = 3 * time.Second        // for the first nodes to write their entries, after two heartbeats at the latest
+	lonePace    = 500 * time.Millisecond // between two stale lists of a node that knows no other one
 	firstPause  = 200 * time.Millisecond // after the store failed
 	longestStop = time.Second            // between two tries; entries are to be back within two seconds of the store's return
 
@@ -51,7 +53,10 @@
 		case err == nil:
 			a.hear(now)
 			pause, cutOff = firstPause, time.Time{}
-			if wait > 0 {
+			switch {
+			case a.alone():
+				sleep(ctx, lonePace/2+rand.N(lonePace))
+			case wait > 0:
 				sleep(ctx, watchPace)
 			}
 			continue
@@ -97,13 +102,25 @@
 	a.deps.Log.Warn("store lost", "age", a.age(), "error", err)
 }
 
+// alone reports whether a starting node knows no other one yet. All nodes start at about the same time then; to watch the store
+// would take each of them several calls before it finds a parent.
+func (a *Agent) alone() bool {
+	if a.deps.Now().Sub(a.born) >= loneTime {
+		return false
+	}
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return a.view.Len() <= 1
+}
+
 // readStore reads everything, or waits for what comes after the revision that this node has heard of. A watch brings each
 // configuration of a storm, and all but the last of them for nothing; the state is read in its place until the storm is over.
 func (a *Agent) readStore(ctx context.Context, wait time.Duration) error {
 	after := store.Revision(a.revision.Load())
-	if after == 0 {
-		// The first list may be stale, which costs a tenth: what has changed since comes from the parent or is asked for next.
-		stale := !a.listed.Load()
+	alone := a.alone()
+	if after == 0 || alone {
+		// The first lists may be stale, which costs a tenth: what has changed since comes from the parent or is asked for next.
+		stale := alone || !a.listed.Load()
 		before := a.version()
 		asOf, err := a.readAll(ctx, stale)
 		if err != nil {
--- a/agent/registrar.go
+++ b/agent/registrar.go
@@ -20,7 +20,7 @@
 const (
 	leaseTime  = 20 * time.Second       // of a node's entry; other nodes find out about its death by their own calls long before
 	leaseRenew = 6 * time.Second        // three times within the lease
-	firstEntry = 2 * time.Second        // for a starting node to hear of its target, so that one write tells both
+	firstBeats = 2                      // heartbeats for which a starting node waits for its target, so that one write tells both
 	gatherWait = 100 * time.Millisecond // in which changes of the record are gathered into one write
 	leaveWait  = 150 * time.Millisecond // for the store to take that the node leaves, and for the end of its lease
 )
@@ -165,7 +165,7 @@
 	case <-ctx.Done():
 		return
 	}
-	t := time.NewTimer(firstEntry)
+	t := time.NewTimer(firstBeats * r.a.cfg.Load().Heartbeat)
 	defer t.Stop()
 	for r.current().Target.State == lifecycle.Unknown {
 		select {
--- a/member/view.go
+++ b/member/view.go
@@ -198,6 +198,9 @@
 	return ms
 }
 
+// Len returns how many members are known.
+func (v *View) Len() int { return len(v.members) }
+
 // Get returns a member.
 func (v *View) Get(n fleet.NodeID) (Member, bool) {
 	if m := v.members[n]; m != nil {
