soak: planned work also comes alone, and cut calls are judged by what they met

A call that ran and whose connection ends counts now whenever the node was asked to end in calm times; a seventh of the steps is followed by a pause and planned work.

--- a/soak/caller.go
+++ b/soak/caller.go
@@ -85,7 +85,6 @@
 		body, method = "", http.MethodGet
 	}
 	path := prefixOf(services[rand.IntN(len(services))], mayRunOnce(id))
-	planned := c.vm.stoppedCalmly()
 	status, got, signed, err := c.send(ctx, id, method, path+string(id), body)
 	switch {
 	case err == nil && status == http.StatusOK:
@@ -94,7 +93,7 @@
 		}
 		c.book.End("200", true)
 	case err != nil:
-		if planned && c.vm.stoppedCalmly() && ctx.Err() == nil && c.book.Count(id) > 0 {
+		if c.vm.stoppedCalmly() && ctx.Err() == nil && c.book.Count(id) > 0 {
 			c.book.Break(PlannedStop, "call %s ran and its connection to %s ended: %v", id, c.vm.name, err)
 		}
 		c.book.End("no answer", false)
--- a/soak/trouble.go
+++ b/soak/trouble.go
@@ -118,8 +118,8 @@
 	firstAt     = time.Second
 	longest     = 3 * time.Second
 	shortest    = 200 * time.Millisecond
-	calmShare   = 0.2 // of the steps that are followed by a pause, so that planned work also comes alone
-	calmPause   = 4 * time.Second
+	calmShare   = 0.15 // of the steps that are followed by a pause and then by planned work alone
+	calmPause   = longest + calmBefore + shortest
 	seriesShare = 0.25 // of the steps that come again at once
 )
 
@@ -128,13 +128,14 @@
 	rng := rand.New(rand.NewPCG(seed, seed))
 	var steps []Step
 	for at := firstAt; at < length; {
-		t := draw(rng, nodes)
-		steps = append(steps, Step{at, t})
+		steps = append(steps, Step{at, draw(rng, nodes)})
 		switch luck := rng.Float64(); {
 		case luck < seriesShare:
 			at += shortest
 		case luck < seriesShare+calmShare:
-			at += calmPause + time.Duration(rng.ExpFloat64()*float64(meanGap))
+			at += calmPause
+			steps = append(steps, Step{at, drawPlanned(rng, nodes)})
+			at += calmPause
 		default:
 			at += time.Duration(rng.ExpFloat64() * float64(meanGap))
 		}
@@ -146,32 +147,40 @@
 func draw(rng *rand.Rand, nodes int) Trouble {
 	vm := rng.IntN(nodes)
 	lasts := shortest + time.Duration(rng.Int64N(int64(longest-shortest)))
-	switch rng.IntN(16) {
+	switch rng.IntN(15) {
 	case 0:
 		return Kill{vm}
 	case 1:
 		return Pause{vm, lasts}
-	case 2, 3:
-		return Stop{vm}
-	case 4:
-		return Reload{vm}
-	case 5:
+	case 2:
 		return Herd{rng.Perm(nodes)[:(nodes+1)/2]}
-	case 6, 7:
+	case 3, 4:
 		return Link{vm, drawWeather(rng), lasts}
-	case 8:
+	case 5:
 		return StoreLink{vm, drawWeather(rng), lasts}
-	case 9:
+	case 6:
 		return StoreFault{drawFaults(rng), lasts}
-	case 10:
+	case 7:
 		return Revoke{}
-	case 11:
+	case 8:
 		return Compact{}
-	case 12:
+	case 9:
 		return Sick{vm % len(services), Sickness{LoseAnswers: 0.2 * rng.Float64(), Errors: 0.2 * rng.Float64(), Slow: 1 + 4*rng.Float64()}, lasts}
-	case 13:
+	case 10:
 		return Crash{vm, lasts}
-	case 14:
+	}
+	return drawPlanned(rng, nodes)
+}
+
+// drawPlanned returns random planned work.
+func drawPlanned(rng *rand.Rand, nodes int) Trouble {
+	vm := rng.IntN(nodes)
+	switch rng.IntN(5) {
+	case 0, 1:
+		return Stop{vm}
+	case 2:
+		return Reload{vm}
+	case 3:
 		return Release{vm}
 	}
 	return Change{1 + rng.IntN(12), shortest / 2}
