--- /dev/null
+++ b/agent/site_test.go
@@ -0,0 +1,264 @@
+package agent_test
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"log/slog"
+	"net"
+	"net/http"
+	"os"
+	"strings"
+	"sync/atomic"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"github.com/cassialead/cassialead/agent"
+	"github.com/cassialead/cassialead/config"
+	"github.com/cassialead/cassialead/fleet"
+	"github.com/cassialead/cassialead/platform"
+	"github.com/cassialead/cassialead/platform/standin"
+	"github.com/cassialead/cassialead/settings"
+)
+
+const (
+	patience = 8 * time.Second
+	settling = time.Second // all nodes know each other's targets
+)
+
+// app is a target that answers as the platform's targets do.
+type app struct {
+	id       string
+	born     int64
+	address  string
+	runs     atomic.Int64
+	healthy  atomic.Bool
+	sequence atomic.Int64
+	fault    atomic.Value // func(http.ResponseWriter, *http.Request) bool
+}
+
+func newApp(id string, born int64) *app {
+	a := &app{id: id, born: born}
+	a.healthy.Store(true)
+	l, err := net.Listen("tcp4", "127.0.0.1:0")
+	Expect(err).NotTo(HaveOccurred())
+	a.address = l.Addr().String()
+	s := &http.Server{Handler: a}
+	go func() { _ = s.Serve(l) }()
+	DeferCleanup(s.Close)
+	return a
+}
+
+// ServeHTTP answers a call or a health check.
+func (a *app) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	w.Header().Set("Instance-Id", a.id)
+	w.Header().Set("Server-Load", "0,0,9,100")
+	if r.URL.Path == "/health" {
+		if !a.healthy.Load() {
+			w.WriteHeader(http.StatusServiceUnavailable)
+		}
+		return
+	}
+	w.Header().Set("Request-Id", r.Header.Get("Request-Id"))
+	if id := r.Header.Get("Target-Instance"); id != "" && id != a.id {
+		w.WriteHeader(http.StatusMisdirectedRequest)
+		return
+	}
+	a.runs.Add(1)
+	if f, ok := a.fault.Load().(func(http.ResponseWriter, *http.Request) bool); ok && f != nil && f(w, r) {
+		return
+	}
+	w.Header().Set("Response-Signature", "s")
+	body, _ := io.ReadAll(r.Body)
+	_, _ = fmt.Fprintf(w, "%s %s %s", a.id, r.Header.Get("Caller-Service"), body)
+}
+
+// node is an agent with the target beside it.
+type node struct {
+	cfg  settings.Agent
+	app  *app
+	stop context.CancelFunc
+	done chan struct{}
+}
+
+// ports are handed out below the range from which the kernel takes the ports of connections, so that none is taken between
+// the look at it and the node's start.
+var ports atomic.Int64
+
+func init() { ports.Store(20000 + int64(os.Getpid()%100)*100) }
+
+func freePort() fleet.Address {
+	for {
+		address := fmt.Sprintf("127.0.0.1:%d", ports.Add(1))
+		l, err := net.Listen("tcp4", address)
+		if err != nil {
+			continue
+		}
+		Expect(l.Close()).To(Succeed())
+		return fleet.Address(address)
+	}
+}
+
+// site is a fleet of agents over one stand-in store.
+type site struct {
+	store *standin.Store
+	nodes []*node
+}
+
+func newSite(services ...string) *site { return newSiteWith(func(*settings.Agent) {}, services...) }
+
+// newSiteWith starts nodes whose settings are changed before.
+func newSiteWith(change func(*settings.Agent), services ...string) *site {
+	s := &site{store: standin.NewStore()}
+	DeferCleanup(s.store.Close)
+	s.store.Put("op/config", plan(1, "/stock/", "stock"))
+	for i, service := range services {
+		n := &node{app: newApp(fmt.Sprintf("i-%d", i), time.Now().UnixMilli())}
+		n.cfg = settings.Agent{VM: fleet.NodeID(fmt.Sprintf("vm-%d", i)), DataCentre: "costa-norte", Region: "costa", Call: freePort(), Link: freePort(),
+			Ready: freePort(), Local: freePort(), Service: config.ServiceName(service), Target: fleet.Address(n.app.address),
+			Store: fleet.Address(s.store.Address()), Heartbeat: time.Second, Grace: 6 * time.Second, Drain: 2 * time.Second,
+			RepeatRatio: 0.2, RepeatSlack: 60, RepeatWindow: 10 * time.Second, MinLease: time.Second}
+		n.cfg.Advertised = n.cfg.Link
+		change(&n.cfg)
+		s.nodes = append(s.nodes, n)
+		s.start(n)
+	}
+	DeferCleanup(s.stopAll)
+	paths := map[string]string{"stock": "/stock/1", "orders": "/orders/1"}
+	for _, n := range s.nodes {
+		Eventually(n.beat).WithArguments("ready").WithTimeout(patience).Should(Equal(200))
+	}
+	for _, n := range s.nodes {
+		Eventually(n.ready).WithTimeout(patience).Should(BeTrue())
+	}
+	for _, n := range s.nodes {
+		for _, service := range services {
+			Eventually(n.status(paths[service])).WithTimeout(patience).Should(Equal(200))
+		}
+	}
+	time.Sleep(settling)
+	for _, n := range s.nodes {
+		n.app.runs.Store(0)
+	}
+	return s
+}
+
+// named adds the node's name to its calls of the store, so that the stand-in can turn single nodes away.
+type named struct{ name string }
+
+func (t named) RoundTrip(r *http.Request) (*http.Response, error) {
+	r.Header.Set(standin.NodeHeader, t.name)
+	return http.DefaultTransport.RoundTrip(r)
+}
+
+func (s *site) start(n *node) {
+	ctx, cancel := context.WithCancel(context.Background())
+	set := metrics.NewSet()
+	st := platform.NewStore(n.cfg.Store, set)
+	st.Through(named{string(n.cfg.VM)})
+	a := agent.New(n.cfg, agent.Deps{Store: st, Log: slog.New(slog.NewTextHandler(GinkgoWriter, nil)).With("vm", n.cfg.VM), Metrics: set, Now: time.Now})
+	n.stop, n.done = cancel, make(chan struct{})
+	go func() {
+		defer GinkgoRecover()
+		defer close(n.done)
+		Expect(a.Run(ctx, nil)).To(Succeed())
+	}()
+}
+
+// stopAll ends all nodes at once.
+func (s *site) stopAll() {
+	for _, n := range s.nodes {
+		n.stop()
+	}
+	for _, n := range s.nodes {
+		<-n.done
+	}
+}
+
+func plan(version int, prefix, service string) []byte {
+	route := func(name, prefix, kind, service string) []any {
+		return []any{name, "a.example", prefix, kind, 2, 0.6, 2, 2, service}
+	}
+	table := func(columns string, rows ...[]any) map[string]any {
+		return map[string]any{"columns": strings.Fields(columns), "rows": rows}
+	}
+	b, err := json.Marshal(map[string]any{
+		"version":  version,
+		"services": table("name healthPath maxConns", []any{"stock", "/health", 120}, []any{"orders", "/health", 120}),
+		"limits":   map[string]any{"maxHeaderBytes": 16384, "maxBodyBytes": 1 << 20, "headerTimeoutS": 3, "idleTimeoutS": 15},
+		"routes": table("name host prefix kind timeoutS targetLatencyS priority maxAttempts service",
+			route("r", prefix, "safe", service), route("o", "/orders/", "unsafe", "orders")),
+	})
+	Expect(err).NotTo(HaveOccurred())
+	return b
+}
+
+func (n *node) ready() bool {
+	resp, err := http.Get("http://" + string(n.cfg.Ready) + "/api/readiness")
+	if err != nil {
+		return false
+	}
+	_ = resp.Body.Close()
+	return resp.StatusCode == http.StatusOK
+}
+
+// version returns the version that the node has in force.
+func (n *node) version() int {
+	resp, err := http.Get("http://" + string(n.cfg.Link) + "/cassialead/ping")
+	Expect(err).NotTo(HaveOccurred())
+	defer func() { _ = resp.Body.Close() }()
+	var p struct {
+		Plan int `json:"plan"`
+	}
+	Expect(json.NewDecoder(resp.Body).Decode(&p)).To(Succeed())
+	return p.Plan
+}
+
+// beat sends a heartbeat and returns the status of its acknowledgement.
+func (n *node) beat(state string) int {
+	body := fmt.Sprintf(`{"born":%d,"address":%q,"info":{"service":%q,"version":"v1","zone":"z","slots":9},"status":{"state":%q,"sequence":%d,"coldLeftS":0}}`,
+		n.app.born, n.app.address, n.cfg.Service, state, n.app.sequence.Add(1))
+	return n.post("/api/Instances.Heartbeat/"+n.app.id, body)
+}
+
+func (n *node) post(path, body string) int {
+	resp, err := http.Post("http://"+string(n.cfg.Local)+path, "application/json", strings.NewReader(body))
+	if err != nil {
+		return 0
+	}
+	_ = resp.Body.Close()
+	return resp.StatusCode
+}
+
+var requests atomic.Int64
+
+// call sends a request through the node and returns the status, the body and the headers of the answer.
+func (n *node) call(method, path, body string) (int, string, http.Header) {
+	r, err := http.NewRequest(method, "http://"+string(n.cfg.Call)+path, strings.NewReader(body))
+	Expect(err).NotTo(HaveOccurred())
+	r.Host = "a.example"
+	r.Header.Set("Request-Id", fmt.Sprintf("req-%d", requests.Add(1)))
+	r.Header.Set("Timeout-Ms", "3000")
+	r.Header.Set("Caller-Service", "forged")
+	resp, err := http.DefaultClient.Do(r)
+	if err != nil {
+		return 0, err.Error(), nil
+	}
+	defer func() { _ = resp.Body.Close() }()
+	b, err := io.ReadAll(resp.Body)
+	if err != nil {
+		return 0, err.Error(), nil
+	}
+	return resp.StatusCode, string(b), resp.Header
+}
+
+func (n *node) status(path string) func() int {
+	return func() int {
+		status, _, _ := n.call(http.MethodGet, path, "")
+		return status
+	}
+}
