feed: heads tell each other whether their own calls of the store fail

A head says on its line that its own calls fail. One that is cut off gives up as soon as the other one is too, and looks at that between its calls.

Test: the store turns away each node and each pair of nodes of two data centres while a version comes every 100 ms; with both heads turned away a node lagged by more than 1.5 s before (no failure with single ones).

--- a/agent/agent.go
+++ b/agent/agent.go
@@ -58,6 +58,8 @@
 	heard    atomic.Int64  // when the store was last heard of on any way, Unix nanoseconds
 	touching atomic.Bool   // that was recent, when it was last looked at
 	revision atomic.Uint64 // the store's revision up to which this node has heard everything
+	cut      atomic.Bool   // this node's calls of the store have failed for a while
+	otherCut atomic.Bool   // the other head said so of itself
 	storm    bool          // configurations come faster than they are read; feed alone uses it
 	inflight inflight
 	servers  []*http.Server
--- a/agent/agent_test.go
+++ b/agent/agent_test.go
@@ -26,7 +26,7 @@
 		Expect(h.Get("Response-Signature")).To(Equal("s"))
 		Expect(s.nodes[1].status("/nowhere/")()).To(Equal(404))
 	})
-	It("stay in touch through the other head while the store turns one away", func() {
+	It("stay in touch while the store turns away one of the heads, or both", func() {
 		const apply, gap = 1500 * time.Millisecond, 100 * time.Millisecond // of the two seconds that a change may take, half a second is for narrow links
 		s := newSiteWith(func(cfg *settings.Agent) {
 			if cfg.VM == "vm-2" || cfg.VM == "vm-3" {
@@ -35,15 +35,24 @@
 		}, "stock", "orders", "stock", "orders")
 		version := 10
 		written := map[int]time.Time{}
-		for _, away := range s.nodes {
-			s.store.Fail(standin.Faults{Status: 429, Only: func(n string) bool { return n == string(away.cfg.VM) }})
+		names := func(n ...*node) map[string]bool {
+			set := map[string]bool{}
+			for _, n := range n {
+				set[string(n.cfg.VM)] = true
+			}
+			return set
+		}
+		n := s.nodes
+		for _, away := range []map[string]bool{names(n[0]), names(n[1]), names(n[2]), names(n[3]),
+			names(n[0], n[2]), names(n[0], n[3]), names(n[1], n[2]), names(n[1], n[3])} { // one of the pairs are both heads
+			s.store.Fail(standin.Faults{Status: 429, Only: func(n string) bool { return away[n] }})
 			for end := time.Now().Add(3500 * time.Millisecond); time.Now().Before(end); time.Sleep(gap) {
 				version++
 				s.store.Put("op/config", plan(version, "/stock/", "stock"))
 				written[version] = time.Now()
 				for _, n := range s.nodes {
 					if next, ok := written[n.version()+1]; ok {
-						Expect(time.Since(next)).To(BeNumerically("<", apply), "%s lags while %s is turned away", n.cfg.VM, away.cfg.VM)
+						Expect(time.Since(next)).To(BeNumerically("<", apply), "%s lags while %v are turned away", n.cfg.VM, away)
 					}
 				}
 			}
--- a/agent/feed.go
+++ b/agent/feed.go
@@ -23,6 +23,8 @@
 
 	headAge = 1800 * time.Millisecond // of the store's last word, at which a head is cut off: a watch, the pause after it, two signs of the other head
 
+	headPoll = 100 * time.Millisecond // between two looks of a head at whether the other one is cut off too
+
 	maxLostParents = 2 // in a row, before the store is asked; two take less than the time in which a change has to be in force
 )
 
@@ -52,6 +54,7 @@
 			return
 		case err == nil:
 			a.hear(now)
+			a.cut.Store(false)
 			pause, cutOff = firstPause, time.Time{}
 			switch {
 			case a.alone():
@@ -62,15 +65,37 @@
 			continue
 		case cutOff.IsZero():
 			cutOff = now
-		case now.Sub(cutOff) >= deafTime && a.age() > headAge && a.listed.Load() && !a.outage():
-			a.avoid(a.cfg.Load().VM, avoidDeaf)
+		case now.Sub(cutOff) >= deafTime:
+			a.cut.Store(true)
 		}
 		a.lookAtStore(err)
-		sleep(ctx, pause/2+rand.N(pause))
+		a.pause(ctx, pause/2+rand.N(pause), parent == nil)
 		pause = min(2*pause, longestStop)
 	}
 }
 
+// pause waits after the store failed. A head gives up its place as soon as it is replaceable, without another call.
+func (a *Agent) pause(ctx context.Context, d time.Duration, head bool) {
+	end := a.deps.Now().Add(d)
+	for ctx.Err() == nil {
+		if head && a.replaceable() {
+			a.avoid(a.cfg.Load().VM, avoidDeaf)
+			return
+		}
+		left := end.Sub(a.deps.Now())
+		if left <= 0 {
+			return
+		}
+		sleep(ctx, min(left, headPoll))
+	}
+}
+
+// replaceable reports whether a head that is cut off from the store has to give up its place: the other head is cut off too,
+// or says nothing.
+func (a *Agent) replaceable() bool {
+	return a.cut.Load() && (a.otherCut.Load() || a.age() > headAge) && a.listed.Load() && !a.outage()
+}
+
 // freshTime is the age from which the store counts as out of touch: a watch, the pause after it, and the signs of three
 // parents.
 const freshTime = 2200 * time.Millisecond
--- a/agent/follow.go
+++ b/agent/follow.go
@@ -151,12 +151,14 @@
 	}
 	defer l.Close()
 	a.deps.Log.Info("hearing the other head", "head", s.Node)
+	defer a.otherCut.Store(false)
 	for ctx.Err() == nil {
 		n, err := l.Receive(parentSilence)
 		if err != nil {
 			return err
 		}
 		a.takeFeed(n, string(s.Node))
+		a.otherCut.Store(n.Cut)
 		a.hear(a.deps.Now().Add(-n.Age))
 		if now := a.place().Sibling; now == nil || now.Node != s.Node {
 			return nil
@@ -248,7 +250,7 @@
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	self := a.cfg.Load().VM
-	n := feed.News{Deaf: a.deps.Now().Before(a.avoided[self]), Full: full, From: self, Age: a.age(), Revision: store.Revision(a.revision.Load())}
+	n := feed.News{Deaf: a.deps.Now().Before(a.avoided[self]), Cut: a.cut.Load(), Full: full, From: self, Age: a.age(), Revision: store.Revision(a.revision.Load())}
 	var changed []member.Member
 	changed, n.Gone, *revision = a.view.Since(*revision)
 	if full {
--- a/feed/news.go
+++ b/feed/news.go
@@ -39,6 +39,8 @@
 	Age time.Duration
 	// Deaf says that the sender is a head that is cut off from the store: another one has to take its place.
 	Deaf bool
+	// Cut says that the sender's own calls of the store fail at present; its news may still be fresh by another way.
+	Cut bool
 	// Revision is the store's revision that the news are complete up to; zero says that a newer configuration follows later.
 	Revision store.Revision
 }
