--- a/agent/agent.go
+++ b/agent/agent.go
@@ -151,10 +151,20 @@
 	a.mu.Unlock()
 	if newer {
 		a.deps.Log.Info("configuration in force", "version", p.Version, "from", from, "rules", p.Rules(), "services", len(p.Services))
+		a.noteDoubts(p)
 		a.gate.Configure(p)
 	}
 }
 
+// noteDoubts logs what a configuration holds that this program does not understand, one line for a version.
+func (a *Agent) noteDoubts(p *config.Plan) {
+	if len(p.Doubts) == 0 {
+		return
+	}
+	a.deps.Metrics.GetOrCreateCounter("cassialead_configuration_doubts_total").Add(len(p.Doubts))
+	a.deps.Log.Warn("configuration not understood in full", "version", p.Version, "doubts", len(p.Doubts), "first", p.Doubts[0].String())
+}
+
 // Ready reports whether callers may be sent here.
 func (a *Agent) Ready() bool {
 	return a.dispatcher.Plan() != nil && a.loaded.Load() && !a.stopping.Load()
--- a/config/plan.go
+++ b/config/plan.go
@@ -14,6 +14,7 @@
 	Version  Version
 	Services map[ServiceName]PlanService
 	Limits   CallerLimits
+	Doubts   Problems // what was not understood and has been read in the most careful way
 	hosts    map[Host]map[string]*Rule
 }
 
