dispatch, gate: the budget of repeats counts calls that repeated runs make, and nothing is repeated past it

Besides, the gate sent a call again on a new connection when a kept one was reset, without asking the budget; a target that resets when it is full, or runs a call and resets, got it twice. A starting node also held a whole fleet's slack until it knew the others.

A nested call of a repeated run is owed: no repeat until it is earned. The gate sends again only what never left. A purse starts empty and nodes that have gone count for a window. Ruled out: several runs of one attempt by dispatch (maxAttempts held in all runs).

The property (13 to 100 nodes in virtual time, bursts, restarts) fails within 2 cases without the debts: 293 repeats, 292 allowed. The agent's test of the reset connection counts one run in place of two.

--- a/agent/agent.go
+++ b/agent/agent.go
@@ -132,7 +132,7 @@
 	a.announce()
 	members := a.view.Members()
 	a.board.Publish(members)
-	a.budget.SetNodes(len(members))
+	a.budget.SetNodes(len(members), a.deps.Now())
 }
 
 // takePlan puts a configuration into force if it is valid and newer.
--- a/agent/agent_test.go
+++ b/agent/agent_test.go
@@ -261,6 +261,16 @@
 			s.nodes[0].app.fault.Store(fault(nil))
 		}
 	})
+	It("is not the second run of a call whose target reset a kept connection", func() {
+		s := newSite("stock", "orders")
+		n := s.nodes[0]
+		Expect(s.nodes[1].status("/stock/1")()).To(Equal(200))
+		time.Sleep(200 * time.Millisecond) // the connection to the target has been idle
+		n.app.runs.Store(0)
+		n.app.fault.Store(fault(drop))
+		s.nodes[1].call(http.MethodGet, "/stock/1", "")
+		Expect(n.app.runs.Load()).To(Equal(int64(1)), "the target had the call, and there is no other one")
+	})
 	It("is complete while the node that took the request stops", func() {
 		s := newSite("stock", "orders")
 		Eventually(s.nodes[1].status("/stock/1")).WithTimeout(patience).Should(Equal(200))
--- /dev/null
+++ b/dispatch/budget_test.go
@@ -0,0 +1,124 @@
+package dispatch_test
+
+import (
+	"math/rand/v2"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+	"pgregory.net/rapid"
+
+	"github.com/cassialead/cassialead/config"
+	"github.com/cassialead/cassialead/dispatch"
+)
+
+// arrivals counts what a service gets, in slots of virtual time.
+type arrivals struct{ requests, repeats []int }
+
+// within adds up a window of slots that begins at one.
+func within(slots []int, from, n int) (sum int) {
+	for i := max(from, 0); i < min(from+n, len(slots)); i++ {
+		sum += slots[i]
+	}
+	return sum
+}
+
+var _ = Describe("repeats of a whole fleet", func() {
+	It("stay within its bounds in any window, calls made by repeated runs included, while nodes come and go", func() {
+		rapid.Check(GinkgoT(), func(t *rapid.T) {
+			const (
+				slot    = 100 * time.Millisecond
+				window  = 100 // slots
+				slots   = 300
+				parents = config.ServiceName("parents")
+				nested  = config.ServiceName("nested")
+			)
+			bounds := dispatch.RepeatBounds{Ratio: 0.2, Slack: 64, Window: window * slot}
+			nodes := rapid.IntRange(13, 100).Draw(t, "nodes")
+			rate := rapid.IntRange(10, 200).Draw(t, "calls in a slot")
+			burst := rapid.IntRange(1, 3).Draw(t, "burst")
+			failing := rapid.Float64Range(0, 1).Draw(t, "share of calls that fail")
+			made := rapid.IntRange(0, 3).Draw(t, "calls that a run makes")
+			churn := rapid.Float64Range(0, 0.05).Draw(t, "share of nodes that restart in a slot")
+			rng := rand.New(rand.NewPCG(rapid.Uint64().Draw(t, "seed"), 0))
+			now := start
+			fleet := make([]*dispatch.Budget, nodes)
+			for i := range fleet {
+				fleet[i] = dispatch.NewBudget(bounds)
+				fleet[i].SetNodes(1, now) // itself, until it hears of the others
+				fleet[i].SetNodes(nodes, now)
+			}
+			got := map[config.ServiceName]*arrivals{}
+			for _, s := range []config.ServiceName{parents, nested} {
+				got[s] = &arrivals{make([]int, slots), make([]int, slots)}
+			}
+			var call func(at int, s config.ServiceName, repeat bool)
+			call = func(at int, s config.ServiceName, repeat bool) {
+				b := fleet[rng.IntN(nodes)]
+				b.Earn(s, now)
+				got[s].requests[at]++
+				if repeat {
+					b.Owe(s, now)
+					got[s].repeats[at]++
+				}
+				run := func(repeat bool) {
+					for range made {
+						if s == parents {
+							call(at, nested, repeat)
+						}
+					}
+				}
+				run(repeat)
+				if rng.Float64() < failing && b.Spend(s, now) {
+					got[s].repeats[at]++
+					run(true)
+				}
+			}
+			for at := range slots {
+				n := rate
+				if at > slots/3 && at < slots/2 {
+					n *= burst
+				}
+				for range n {
+					call(at, parents, false)
+				}
+				for i := range fleet {
+					if rng.Float64() < churn {
+						fleet[i] = dispatch.NewBudget(bounds)
+						fleet[i].SetNodes(nodes, now)
+					} else if rng.Float64() < churn {
+						fleet[i].SetNodes(nodes/2, now)
+						fleet[i].SetNodes(nodes, now)
+					}
+				}
+				now = now.Add(slot)
+			}
+			for s, a := range got {
+				for from := range slots {
+					requests := max(within(a.requests, from, window), within(a.requests, from-window, window), within(a.requests, from-window/2, window))
+					most := bounds.Ratio*float64(requests) + bounds.Slack
+					if n := within(a.repeats, from, window); float64(n) > most {
+						t.Fatalf("%s: %d repeats in the window from slot %d, %.0f allowed for %d calls", s, n, from, most, requests)
+					}
+				}
+			}
+		})
+	})
+	It("are not granted for nodes that have just gone, nor before the others are known", func() {
+		b := dispatch.NewBudget(dispatch.RepeatBounds{Slack: 64, Window: 10 * time.Second})
+		Expect(b.Spend("s", start)).To(BeFalse(), "how many share the bounds is not known yet")
+		b.SetNodes(16, start)
+		b.SetNodes(4, start)
+		spend := func(at time.Time) (n int) {
+			for b.Spend("other", at) {
+				n++
+			}
+			return n
+		}
+		Expect(spend(start)).To(BeZero(), "nothing has been earned yet")
+		Expect(spend(start.Add(9*time.Second))).To(Equal(1), "nine tenths of a sixteenth of half of the slack")
+		Expect(spend(start.Add(40*time.Second))).To(Equal(8), "a quarter of it, since the others have been gone for a window")
+	})
+})
+
+var start = time.Date(2026, 12, 4, 8, 0, 0, 0, time.UTC)
--- a/dispatch/dispatch.go
+++ b/dispatch/dispatch.go
@@ -26,8 +26,8 @@
 type Local interface {
 	// Do admits a call and brings it to the target.
 	Do(ctx context.Context, c *hop.Call) hop.Outcome
-	// Runs reports whether the target works on a call.
-	Runs(id hop.CallID) bool
+	// Runs reports whether the target works on a call, and whether that is a repeat.
+	Runs(id hop.CallID) (works, repeat bool)
 }
 
 // Deps are what a dispatcher needs from its surroundings.
@@ -61,8 +61,8 @@
 	meters *meters
 	plan   atomic.Pointer[config.Plan]
 	parts  shares
-	sizes  sizes
 	waits  waits
+	sizes  sizes
 	press  press
 }
 
@@ -125,17 +125,24 @@
 		wait = in.Left
 	}
 	t := &trip{d: d, in: in, plan: plan, rule: rule, rng: rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))}
+	rank, repeat := d.rank(in, rule)
 	t.call = hop.Call{ID: in.ID, Method: in.Method, URI: in.URI, Host: in.Host, Header: in.Header, Body: in.Body, Route: rule.Name,
-		Service: d.parts.part(rule), Origin: in.Origin, Rank: d.rank(in, rule), Repeatable: rule.Repeatable(),
+		Service: d.parts.part(rule), Origin: in.Origin, Rank: rank, Repeatable: rule.Repeatable(),
 		Aim: in.Came.Add(rule.Aim - d.waits.elapsed(rule.Name, in.Left, in.Came)), Deadline: in.Came.Add(wait - answerMargin)}
 	d.deps.Budget.Earn(t.call.Service, in.Came)
+	if repeat {
+		d.deps.Budget.Owe(t.call.Service, in.Came)
+	}
 	return t
 }
 
-// rank returns the rank of a call at a gate: a call that the target on this VM makes for one it works on goes first.
-func (d *Dispatcher) rank(in *Request, r *config.Rule) hop.Rank {
-	if in.Parent != "" && d.deps.Local.Runs(in.Parent) {
-		return hop.RankNested
+// rank returns the rank of a call at a gate, and whether a repeated run makes it: a call that the target on this VM makes for
+// one it works on goes first.
+func (d *Dispatcher) rank(in *Request, r *config.Rule) (rank hop.Rank, repeat bool) {
+	if in.Parent != "" {
+		if works, repeat := d.deps.Local.Runs(in.Parent); works {
+			return hop.RankNested, repeat
+		}
 	}
-	return hop.Rank(r.Priority)
+	return hop.Rank(r.Priority), false
 }
--- a/dispatch/trip_test.go
+++ b/dispatch/trip_test.go
@@ -37,7 +37,9 @@
 
 func (f *carrier) Do(ctx context.Context, c *hop.Call) hop.Outcome { return f.Carry(ctx, "", c) }
 
-func (f *carrier) Runs(id hop.CallID) bool { return f.nested && id == "parent" }
+func (f *carrier) Runs(id hop.CallID) (works, repeat bool) {
+	return f.nested && (id == "parent" || id == "repeated"), id == "repeated"
+}
 
 var load = hop.Load{Limit: 9, Hold: 100 * time.Millisecond}
 
@@ -64,6 +66,11 @@
 }
 
 func newDispatcher(f *carrier, targets int, slack float64) *dispatch.Dispatcher {
+	d, _ := newDispatcherWithBoard(f, targets, slack)
+	return d
+}
+
+func newDispatcherWithBoard(f *carrier, targets int, slack float64) (*dispatch.Dispatcher, *dispatch.Board) {
 	board := dispatch.NewBoard(dispatch.Place{Node: "self", DataCentre: "dc", Region: "region"})
 	var members []member.Member
 	for i := range targets {
@@ -72,9 +79,10 @@
 			Address: fleet.Address(n), Target: member.Target{ID: lifecycle.ID("i-" + n), Service: "stock", Slots: 9, State: lifecycle.Open}}})
 	}
 	board.Publish(members)
-	d := dispatch.New(dispatch.Deps{Board: board, Carrier: f, Local: f, Metrics: metrics.NewSet(), Now: time.Now,
-		Budget: dispatch.NewBudget(dispatch.RepeatBounds{Ratio: 0, Slack: slack, Window: 10 * time.Second}),
-		Log:    slog.New(slog.NewTextHandler(io.Discard, nil))})
+	budget := dispatch.NewBudget(dispatch.RepeatBounds{Ratio: 0, Slack: slack, Window: 10 * time.Second})
+	budget.SetNodes(1, time.Now().Add(-time.Minute))
+	d := dispatch.New(dispatch.Deps{Board: board, Carrier: f, Local: f, Metrics: metrics.NewSet(), Now: time.Now, Budget: budget,
+		Log: slog.New(slog.NewTextHandler(io.Discard, nil))})
 	rule := func(name config.RouteName, prefix string, calls config.Semantics) *config.Rule {
 		return &config.Rule{Name: name, Host: "h", Prefix: prefix, Calls: calls, Attempts: 2, Timeout: 2 * time.Second, Aim: 600 * time.Millisecond,
 			Priority: 2, Parts: []config.Part{{Service: "stock", Weight: 1}}}
@@ -83,7 +91,7 @@
 		[]*config.Rule{rule("safe", "/safe/", config.Idempotent), rule("order", "/order/", config.AtMostOnce)}, config.CallerLimits{})
 	Expect(err).NotTo(HaveOccurred())
 	d.Publish(p)
-	return d
+	return d, board
 }
 
 func do(d *dispatch.Dispatcher, path string) hop.Outcome {
@@ -138,6 +146,16 @@
 		Expect(o.(hop.Refused).Cause).To(Equal(hop.NoTarget))
 		Expect(o.(hop.Refused).RetryAfter).To(BeNumerically(">", 0))
 	})
+	It("owes for the calls that a repeated run makes, before any other repeat", func() {
+		f := &carrier{outcomes: outcomes{answered(200), failed(hop.Broken)}, nested: true}
+		d := newDispatcher(f, 3, 2) // one repeat in a window
+		nested := func(parent hop.CallID) {
+			d.Do(context.Background(), &dispatch.Request{ID: parent + ".1", Parent: parent, Method: "GET", URI: "/safe/", Host: "h", Header: http.Header{}, Came: time.Now()})
+		}
+		nested("repeated")
+		nested("parent")
+		Expect(f.calls).To(HaveLen(2), "the only repeat was owed")
+	})
 	It("ranks a call that the target here makes for one that it works on before all others", func() {
 		f := &carrier{outcomes: outcomes{answered(200)}, nested: true}
 		d := newDispatcher(f, 1, plenty)
--- a/gate/carry.go
+++ b/gate/carry.go
@@ -66,11 +66,18 @@
 	return t
 }
 
-// Runs reports whether the target works on a call.
-func (g *Gate) Runs(id hop.CallID) bool {
+// work is what the target does for a call.
+type work struct {
+	attempts int
+	repeat   bool // an earlier attempt may have reached a target
+}
+
+// Runs reports whether the target works on a call, and whether that is a repeat.
+func (g *Gate) Runs(id hop.CallID) (works, repeat bool) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	return g.running[id] > 0
+	w, ok := g.running[id]
+	return ok, w.repeat
 }
 
 // slot is a held slot of the target.
@@ -109,9 +116,12 @@
 
 // forget notes that the target has ended its work on a call; it is called with mu held.
 func (g *Gate) forget(id hop.CallID) {
-	if g.running[id]--; g.running[id] <= 0 {
+	w := g.running[id]
+	if w.attempts--; w.attempts <= 0 {
 		delete(g.running, id)
+		return
 	}
+	g.running[id] = w
 }
 
 // admit waits for a slot.
@@ -152,7 +162,8 @@
 			g.queue.Done(s.since, c.Route, 0)
 			return nil, refused
 		}
-		g.running[c.ID]++
+		w := g.running[c.ID]
+		g.running[c.ID] = work{w.attempts + 1, w.repeat || c.Repeat}
 		if size := g.sizes[c.Route]; !c.Here && size >= BulkSize {
 			s.claim = g.deps.Uplink.Reserve(int(size), c.Aim)
 		}
@@ -253,8 +264,9 @@
 	return g.judge(c, s, a, v, body)
 }
 
-// send makes the exchange with the target. A kept connection that turns out to be closed before anything was sent, or at
-// once for a call that may be repeated, is replaced by a new one.
+// send makes the exchange with the target. A kept connection that turns out to be closed before anything was sent is replaced
+// by a new one. One that is reset afterwards is not: the target may have had the call, and a target that resets when it is full
+// would get it twice; the caller's node decides within its budget.
 func (g *Gate) send(ctx context.Context, c *hop.Call, s *slot, kept *exchange.Conn) (*exchange.Answer, error) {
 	r := &exchange.Request{Method: c.Method, URI: c.URI, Host: c.Host, Body: c.Body,
 		Match: func(resp *http.Response) exchange.Match {
@@ -276,7 +288,7 @@
 			s.pool.Dropped(now, idle)
 			g.deps.Log.Info("kept connection was dropped by the target", "call", c.ID, "instance", s.at.ID, "idle", idle)
 		}
-		if err == nil || !(errors.Is(err, exchange.ErrNotSent) || dropped && c.Repeatable) {
+		if !errors.Is(err, exchange.ErrNotSent) {
 			return a, err
 		}
 	}
--- a/gate/gate.go
+++ b/gate/gate.go
@@ -52,7 +52,7 @@
 	failing  float64
 	failedAt time.Time
 	pace     float64
-	running  map[hop.CallID]int           // calls that the target works on
+	running  map[hop.CallID]work          // calls that the target works on
 	sizes    map[config.RouteName]float64 // mean bytes of a route's answers
 	asking   bool
 	expiring bool
@@ -61,7 +61,7 @@
 // New returns a gate for a target of a service that the settings expect at an address.
 func New(deps Deps, service config.ServiceName, address fleet.Address) *Gate {
 	return &Gate{deps: deps, meters: newMeters(deps.Metrics), life: lifecycle.NewLife(), queue: NewQueue(), pool: exchange.NewPool(maxIdle),
-		service: service, address: address, pace: 1, running: map[hop.CallID]int{}, sizes: map[config.RouteName]float64{}}
+		service: service, address: address, pace: 1, running: map[hop.CallID]work{}, sizes: map[config.RouteName]float64{}}
 }
 
 // Occupant returns what the gate knows of the target.
