dispatch: callers that come back are recognised by their request and deadline, not by a guess at their patience

A caller that comes back for the same thing keeps the end of its time: the same request with the same deadline within 20 ms is the same caller's, and its aim counts from its first try.

--- a/dispatch/dispatch.go
+++ b/dispatch/dispatch.go
@@ -61,7 +61,7 @@
 	meters *meters
 	plan   atomic.Pointer[config.Plan]
 	parts  shares
-	waits  waits
+	back   returns
 	sizes  sizes
 	press  press
 }
@@ -111,6 +111,7 @@
 		}
 		d.sizes.observe(rule.Name, len(in.Body)+len(a.Body))
 	} else {
+		d.back.note(in, x.first, d.deps.Now())
 		cancel()
 	}
 	d.meters.outcome(x.call.Service, o, d.deps.Now().Sub(in.Came))
@@ -125,10 +126,11 @@
 		wait = in.Left
 	}
 	t := &trip{d: d, in: in, plan: plan, rule: rule, rng: rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))}
+	t.first = d.back.first(in)
 	rank, repeat := d.rank(in, rule)
 	t.call = hop.Call{ID: in.ID, Method: in.Method, URI: in.URI, Host: in.Host, Header: in.Header, Body: in.Body, Route: rule.Name,
 		Service: d.parts.part(rule), Origin: in.Origin, Rank: rank, Repeatable: rule.Repeatable(),
-		Aim: in.Came.Add(rule.Aim - d.waits.elapsed(rule.Name, in.Left, in.Came)), Deadline: in.Came.Add(wait - answerMargin)}
+		Aim: t.first.Add(rule.Aim), Deadline: in.Came.Add(wait - answerMargin)}
 	d.deps.Budget.Earn(t.call.Service, in.Came)
 	if repeat {
 		d.deps.Budget.Owe(t.call.Service, in.Came)
--- a/dispatch/trip.go
+++ b/dispatch/trip.go
@@ -28,8 +28,9 @@
 	rng  *rand.Rand
 	call hop.Call
 
-	full    []*Peer // have said that they are full
-	avoided []*Peer // must not be asked again
+	first   time.Time // when the caller's first try of the request came
+	full    []*Peer   // have said that they are full
+	avoided []*Peer   // must not be asked again
 	hops    int
 	queued  int           // targets that refused the call a place in their queue
 	arrived int           // attempts that may have reached a target
--- a/dispatch/trip_test.go
+++ b/dispatch/trip_test.go
@@ -66,11 +66,6 @@
 }
 
 func newDispatcher(f *carrier, targets int, slack float64) *dispatch.Dispatcher {
-	d, _ := newDispatcherWithBoard(f, targets, slack)
-	return d
-}
-
-func newDispatcherWithBoard(f *carrier, targets int, slack float64) (*dispatch.Dispatcher, *dispatch.Board) {
 	board := dispatch.NewBoard(dispatch.Place{Node: "self", DataCentre: "dc", Region: "region"})
 	var members []member.Member
 	for i := range targets {
@@ -91,7 +86,7 @@
 		[]*config.Rule{rule("safe", "/safe/", config.Idempotent), rule("order", "/order/", config.AtMostOnce)}, config.CallerLimits{})
 	Expect(err).NotTo(HaveOccurred())
 	d.Publish(p)
-	return d, board
+	return d
 }
 
 func do(d *dispatch.Dispatcher, path string) hop.Outcome {
