gate, hop: long bodies are announced and come as the link of the target's VM allows

A body of 8 KB or more is announced; the target's node refuses what can't be in time before it is sent, and grants the rest by aim at the link's rate. An announced call that has not been granted can't have run, so a broken or silent node is tried elsewhere. Ruled out: streaming (docs/design/platform.md weighs the ways).

--- a/agent/agent.go
+++ b/agent/agent.go
@@ -72,7 +72,7 @@
 	a.heard.Store(int64(-freshTime)) // not yet
 	a.board = dispatch.NewBoard(dispatch.Place{Node: cfg.VM, DataCentre: cfg.DataCentre, Region: cfg.Region})
 	a.budget = dispatch.NewBudget(dispatch.RepeatBounds{Ratio: cfg.RepeatRatio, Slack: cfg.RepeatSlack, Window: cfg.RepeatWindow})
-	a.gate = gate.New(gate.Deps{Uplink: gate.NewUplink(cfg.LinkRate, deps.Now), Dialect: platform.Dialect{}, Log: deps.Log, Metrics: deps.Metrics, Now: deps.Now, Changed: a.targetChanged},
+	a.gate = gate.New(gate.Deps{Uplink: gate.NewLink(cfg.LinkRate, deps.Now), Downlink: gate.NewLink(cfg.LinkRate, deps.Now), Dialect: platform.Dialect{}, Log: deps.Log, Metrics: deps.Metrics, Now: deps.Now, Changed: a.targetChanged},
 		cfg.Service, cfg.Target)
 	a.dispatcher = dispatch.New(dispatch.Deps{Board: a.board, Carrier: a.lines, Local: a.gate, Budget: a.budget, Log: deps.Log,
 		Metrics: deps.Metrics, Now: deps.Now})
@@ -257,7 +257,10 @@
 			return errors.Wrapf(err, "listen for %s", s.name)
 		}
 		server := &http.Server{Handler: s.handler, ErrorLog: slog.NewLogLogger(a.deps.Log.Handler(), slog.LevelDebug),
-			ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout}
+			ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout,
+			ConnContext: func(ctx context.Context, c net.Conn) context.Context {
+				return context.WithValue(ctx, connectionKey{}, c)
+			}}
 		a.servers = append(a.servers, server)
 		go func() {
 			if err := server.Serve(l); !errors.Is(err, http.ErrServerClosed) {
--- a/agent/agent_test.go
+++ b/agent/agent_test.go
@@ -8,6 +8,7 @@
 	"net/http"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	. "github.com/onsi/ginkgo/v2"
@@ -102,6 +103,34 @@
 		wg.Wait()
 		Expect(s.nodes[0].app.runs.Load() + s.nodes[1].app.runs.Load()).To(Equal(int64(calls)))
 	})
+	It("let long bodies come as the target's narrow link allows, refuse the others unsent, and run each once", func() {
+		const size, calls = 50_000, 8 // each takes 0.6 s on the link
+		s := newSiteWith(func(cfg *settings.Agent) { cfg.LinkRate = 800e3 }, "orders", "stock")
+		body := strings.Repeat("x", size)
+		var wg sync.WaitGroup
+		var served atomic.Int64
+		for range calls {
+			wg.Go(func() {
+				defer GinkgoRecover()
+				status, got, h := s.nodes[1].call(http.MethodPost, "/orders/1", body)
+				if status == 200 {
+					served.Add(1)
+					Expect(got).To(HaveSuffix(body))
+					return
+				}
+				Expect(status).To(Equal(503), got)
+				Expect(h.Get("Retry-After")).NotTo(BeEmpty())
+			})
+		}
+		begun := time.Now()
+		status, _, _ := s.nodes[1].call(http.MethodPost, "/orders/1", "small")
+		Expect(status).To(Equal(200))
+		Expect(time.Since(begun)).To(BeNumerically("<", 300*time.Millisecond), "a small call does not wait behind bodies")
+		wg.Wait()
+		Expect(served.Load()).To(BeNumerically(">", 0))
+		Expect(served.Load()).To(BeNumerically("<", calls))
+		Expect(s.nodes[0].app.runs.Load()).To(Equal(served.Load() + 1))
+	})
 	It("take a new configuration everywhere, and never go back to an older one", func() {
 		s := newSite("stock", "orders", "stock", "orders")
 		s.store.Put("op/config", plan(5, "/new/", "stock"))
--- a/agent/peer.go
+++ b/agent/peer.go
@@ -7,6 +7,7 @@
 	"fmt"
 	"io"
 	"math/rand/v2"
+	"net"
 	"net/http"
 	"strconv"
 	"sync"
@@ -15,9 +16,9 @@
 	"github.com/cockroachdb/errors"
 
 	"github.com/cassialead/cassialead/config"
+	"github.com/cassialead/cassialead/exchange"
 	"github.com/cassialead/cassialead/feed"
 	"github.com/cassialead/cassialead/fleet"
-	"github.com/cassialead/cassialead/gate"
 	"github.com/cassialead/cassialead/hop"
 	"github.com/cassialead/cassialead/member"
 )
@@ -49,12 +50,7 @@
 	a.inflight.enter()
 	defer a.inflight.leave()
 	now := a.deps.Now()
-	body, cause := a.readBody(r)
-	if cause != "" {
-		w.WriteHeader(http.StatusBadRequest)
-		return
-	}
-	c, err := hop.ReadCall(r, body, now)
+	c, err := hop.ReadCall(r, now)
 	if err != nil {
 		a.deps.Log.Warn("malformed call of a node", "from", r.RemoteAddr, "error", err)
 		w.WriteHeader(http.StatusBadRequest)
@@ -62,9 +58,13 @@
 	}
 	s := &sign{w: w}
 	timer := time.AfterFunc(hop.SignAfter(), s.give)
-	o := a.gate.Do(r.Context(), c)
+	o := a.takeCall(w, r, c, s)
 	timer.Stop()
 	s.end()
+	if o == nil {
+		w.WriteHeader(http.StatusBadRequest)
+		return
+	}
 	h := http.Header{}
 	status := hop.WriteOutcome(h, c.ID, o)
 	answered, ok := o.(*hop.Answered)
@@ -81,6 +81,52 @@
 	writeAnswer(w, answered, status)
 }
 
+// bodyTime bounds the arrival of a body that has been asked for: a lost packet's repeat on top of its time on the link.
+const bodyTime = 2 * time.Second
+
+// takeCall brings another node's call to the target; it returns nil if the call's body did not come whole.
+func (a *Agent) takeCall(w http.ResponseWriter, r *http.Request, c *hop.Call, s *sign) hop.Outcome {
+	if c.Announced {
+		gone := func() bool { return exchange.Ended(connection(r.Context())) }
+		if refused := a.gate.Receive(r.Context(), c, int(r.ContentLength), gone); refused != nil {
+			return *refused
+		}
+		s.goAhead()
+	}
+	body, err := a.readPeerBody(w, r)
+	if err != nil {
+		a.deps.Log.Info("call of a node not read", "call", c.ID, "from", r.RemoteAddr, "error", err)
+		return nil
+	}
+	c.Body = body
+	return a.gate.Do(r.Context(), c)
+}
+
+// readPeerBody reads the body of another node's call within bodyTime.
+func (a *Agent) readPeerBody(w http.ResponseWriter, r *http.Request) ([]byte, error) {
+	if r.ContentLength == 0 {
+		return nil, nil
+	}
+	rc := http.NewResponseController(w)
+	if err := rc.SetReadDeadline(a.deps.Now().Add(bodyTime)); err != nil {
+		return nil, errors.Wrap(err, "bound the body's time")
+	}
+	body, cause := a.readBody(r)
+	if cause != "" {
+		return nil, errors.Newf("read the body: %s", cause)
+	}
+	return body, errors.Wrap(rc.SetReadDeadline(time.Time{}), "lift the body's bound")
+}
+
+// connectionKey is the key of a request's connection in its context.
+type connectionKey struct{}
+
+// connection returns the connection that a request came on.
+func connection(ctx context.Context) net.Conn {
+	c, _ := ctx.Value(connectionKey{}).(net.Conn)
+	return c
+}
+
 // pacedWriter sends the head of an answer at once, which tells the caller's node that the answer is there, and pieces of
 // the body when the link has room for them.
 type pacedWriter struct {
@@ -99,7 +145,7 @@
 func (w *pacedWriter) Write(p []byte) (int, error) {
 	sent := 0
 	for len(p) > 0 {
-		piece := p[:min(len(p), gate.BulkSize)]
+		piece := p[:min(len(p), hop.BulkSize)]
 		w.send(w.ctx, len(piece))
 		n, err := w.ResponseWriter.Write(piece)
 		sent += n
@@ -126,6 +172,13 @@
 	}
 }
 
+// goAhead asks for the body of an announced call.
+func (s *sign) goAhead() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.w.WriteHeader(http.StatusContinue)
+}
+
 func (s *sign) end() {
 	s.mu.Lock()
 	defer s.mu.Unlock()
--- a/dispatch/choose.go
+++ b/dispatch/choose.go
@@ -22,16 +22,18 @@
 	fillFactor    = 0.25                   // slow-down of a full target against an idle one
 	failureFactor = 3.0                    // exponent by which failures make a target dearer
 	scoreNoise    = 0.15                   // spread that keeps nodes with the same figures from choosing the same target
-	bulkKilobytes = 8.0                    // from which an answer waits for the backlog of its VM's link
+	inboundSlack  = 50 * time.Millisecond  // backlog of a VM's link at which it is not free for a long body
 	exploreShare  = 0.05                   // calls sent to a target without fresh figures, if there is one
 )
 
 // choice is what a call needs from its target.
 type choice struct {
-	kilobytes float64 // of request and answer
-	tried     func(*Peer) bool
+	body, answer int // bytes
+	tried        func(*Peer) bool
 }
 
+func (c choice) kilobytes() float64 { return float64(c.body+c.answer) / 1024 }
+
 // choose returns the cheapest available peer, or nil.
 func choose(peers []*Peer, c choice, now time.Time, rng *rand.Rand) *Peer {
 	hold, fill := typical(peers, now)
@@ -42,7 +44,7 @@
 		if c.tried(p) || !p.Available(now) {
 			continue
 		}
-		s := p.score(now, hold, fill, c.kilobytes)
+		s := p.score(now, hold, fill, c)
 		if explore && p.Distance < OtherRegion && p.unheard(now) {
 			s = rng.Float64()
 		}
@@ -63,7 +65,7 @@
 		if !p.Available(now) || c.tried(p) {
 			continue
 		}
-		if s := p.score(now, hold, fill, c.kilobytes); s < least {
+		if s := p.score(now, hold, fill, c); s < least {
 			best, least = p, s
 		}
 	}
@@ -90,17 +92,20 @@
 }
 
 // free reports whether the peer is believed to have a free slot.
-func (p *Peer) free(now time.Time) bool {
+func (p *Peer) free(now time.Time, c choice) bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if p.loadAt.IsZero() || now.Sub(p.loadAt) > staleLoad {
 		return true
 	}
+	if c.body >= hop.BulkSize && p.Distance != SameVM && p.load.Inbound > inboundSlack {
+		return false
+	}
 	return p.load.Running+p.load.Waiting+p.inflight-p.base < p.load.Limit
 }
 
 // score estimates a call's cost at the peer in milliseconds.
-func (p *Peer) score(now time.Time, typicalHold time.Duration, typicalFill, kilobytes float64) float64 {
+func (p *Peer) score(now time.Time, typicalHold time.Duration, typicalFill float64, c choice) float64 {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	limit := float64(max(p.Slots, 1))
@@ -123,10 +128,13 @@
 		ms *= coldFactor
 	}
 	ms /= math.Pow(max(1-failing, 0.1), failureFactor)
-	if kilobytes > bulkKilobytes && p.Distance != SameVM {
+	if c.answer >= hop.BulkSize && p.Distance != SameVM {
 		ms += 1000 * p.load.Link.Seconds()
 	}
-	return ms + 1000*wayCost[p.Distance].Seconds() + kilobytes*1000*byteCost[p.Distance].Seconds()
+	if c.body >= hop.BulkSize && p.Distance != SameVM {
+		ms += 1000 * p.load.Inbound.Seconds()
+	}
+	return ms + 1000*wayCost[p.Distance].Seconds() + c.kilobytes()*1000*byteCost[p.Distance].Seconds()
 }
 
 // unheard reports whether the peer has no fresh figures.
--- a/dispatch/dispatch.go
+++ b/dispatch/dispatch.go
@@ -109,7 +109,7 @@
 			release()
 			cancel()
 		}
-		d.sizes.observe(rule.Name, len(in.Body)+len(a.Body))
+		d.sizes.observe(rule.Name, len(a.Body))
 	} else {
 		d.back.note(in, x.first, d.deps.Now())
 		cancel()
--- a/dispatch/meters.go
+++ b/dispatch/meters.go
@@ -37,7 +37,7 @@
 
 const sizeGain = 0.1 // weight of one call in the mean size of a route's calls
 
-// sizes keeps the mean bytes of each route's requests and answers.
+// sizes keeps the mean bytes of each route's answers.
 type sizes struct {
 	mu   sync.Mutex
 	mean map[config.RouteName]float64
@@ -56,9 +56,9 @@
 	s.mean[r] = mean + sizeGain*(float64(bytes)-mean)
 }
 
-// of returns the mean size of a route's calls in kilobytes.
-func (s *sizes) of(r config.RouteName) float64 {
+// of returns the mean bytes of a route's answers.
+func (s *sizes) of(r config.RouteName) int {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.mean[r] / 1024
+	return int(s.mean[r])
 }
--- a/dispatch/trip.go
+++ b/dispatch/trip.go
@@ -52,6 +52,7 @@
 		t.hops++
 		c := t.call
 		c.Instance = p.Instance
+		c.Announced = len(c.Body) >= hop.BulkSize && p.Distance != SameVM
 		c.GiveUp = t.giveUpSilent(p)
 		p.begin()
 		o := t.carry(ctx, p, &c)
@@ -108,10 +109,10 @@
 		return nil
 	}
 	peers := t.d.deps.Board.Peers(t.call.Service)
-	need := choice{kilobytes: t.d.sizes.of(t.rule.Name)}
+	need := choice{body: len(t.call.Body), answer: t.d.sizes.of(t.rule.Name)}
 	if len(t.full) < maxLooks && t.queued == 0 {
 		need.tried = func(p *Peer) bool { return slices.Contains(t.avoided, p) || slices.Contains(t.full, p) }
-		if p := choose(peers, need, now, t.rng); p != nil && p.free(now) {
+		if p := choose(peers, need, now, t.rng); p != nil && p.free(now, need) {
 			t.call.Patience = hop.Elsewhere
 			return p
 		}
--- a/exchange/conn.go
+++ b/exchange/conn.go
@@ -29,7 +29,7 @@
 
 // The ways in which an exchange fails.
 var (
-	// ErrNotSent says that no byte of the request has left.
+	// ErrNotSent says that no byte of the request has left, or of its body if that was announced: it can't have run.
 	ErrNotSent = errors.New("the request was not sent")
 	// ErrBroken says that the connection ended without a whole answer.
 	ErrBroken = errors.New("the connection ended before the answer was whole")
@@ -44,6 +44,8 @@
 	Host   string
 	Header http.Header
 	Body   []byte
+	// Announced asks the peer for its leave before the body is sent; a peer that answers instead never gets it.
+	Announced bool
 	// Match judges an answer's head: one that belongs to an earlier request is skipped.
 	Match func(*http.Response) Match
 	// Interim is told of informational answers; it may be nil.
@@ -109,14 +111,35 @@
 	if c.raw == nil {
 		return true
 	}
-	quiet := false
-	err := c.raw.Read(func(fd uintptr) bool {
+	_, err := peek(c.raw)
+	return err == syscall.EAGAIN
+}
+
+// peek looks for bytes that have come on a socket and leaves them there; EAGAIN says that there are none.
+func peek(raw syscall.RawConn) (n int, err error) {
+	failed := raw.Read(func(fd uintptr) bool {
 		var b [1]byte
-		_, _, err := syscall.Recvfrom(int(fd), b[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
-		quiet = err == syscall.EAGAIN
+		n, _, err = syscall.Recvfrom(int(fd), b[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
 		return true
 	})
-	return err == nil && quiet
+	if failed != nil {
+		return 0, failed
+	}
+	return n, err
+}
+
+// Ended reports whether the peer of a connection that waits for bytes has ended it.
+func Ended(nc net.Conn) bool {
+	tc, ok := nc.(*net.TCPConn)
+	if !ok {
+		return false
+	}
+	raw, err := tc.SyscallConn()
+	if err != nil {
+		return true
+	}
+	n, err := peek(raw)
+	return n == 0 && err != syscall.EAGAIN
 }
 
 // Do sends a request and reads the answer's head. The answer's body has to be read or closed before the next exchange.
@@ -141,27 +164,38 @@
 func (c *Conn) exchange(r *Request) (*Answer, error) {
 	head := r.head()
 	var rest chan error
-	if len(r.Body) <= inlineBody {
-		if n, err := c.nc.Write(append(head, r.Body...)); err != nil {
-			return nil, sendError(err, n)
-		}
-	} else {
-		if n, err := c.nc.Write(head); err != nil {
-			return nil, sendError(err, n)
-		}
+	sendBody := func() {
 		rest = make(chan error, 1)
 		go func() {
 			_, err := c.nc.Write(r.Body)
 			rest <- err
 		}()
 	}
+	awaiting := r.Announced && len(r.Body) > 0
+	inline := !awaiting && len(r.Body) <= inlineBody
+	if inline {
+		head = append(head, r.Body...)
+	}
+	if n, err := c.nc.Write(head); err != nil {
+		return nil, sendError(err, n)
+	}
+	if !inline && !awaiting {
+		sendBody()
+	}
 	c.used = true
 	for {
 		resp, err := http.ReadResponse(c.br, &http.Request{Method: r.Method})
-		if err != nil {
+		switch {
+		case err != nil && awaiting:
+			return nil, fmt.Errorf("%w: %w", ErrNotSent, err)
+		case err != nil:
 			return nil, readError(err)
 		}
 		if resp.StatusCode < 200 && resp.StatusCode != http.StatusSwitchingProtocols {
+			if awaiting && resp.StatusCode == http.StatusContinue {
+				awaiting = false
+				sendBody()
+			}
 			if r.Interim != nil {
 				r.Interim(resp.StatusCode)
 			}
@@ -169,6 +203,9 @@
 		}
 		switch r.Match(resp) {
 		case Own:
+			if awaiting {
+				resp.Close = true // the peer may still take what is sent next for the body
+			}
 			return c.answer(resp, rest), nil
 		case Foreign:
 			return nil, errors.Wrapf(ErrMalformed, "answer of status %d names another request", resp.StatusCode)
@@ -205,7 +242,7 @@
 }
 
 func (r *Request) head() []byte {
-	b := make([]byte, 0, 1024+len(r.Body))
+	b := make([]byte, 0, 1024+min(len(r.Body), inlineBody))
 	b = append(b, r.Method...)
 	b = append(b, ' ')
 	b = append(b, r.URI...)
@@ -225,6 +262,9 @@
 		b = strconv.AppendInt(b, int64(len(r.Body)), 10)
 		b = append(b, "\r\n"...)
 	}
+	if r.Announced {
+		b = append(b, "Expect: 100-continue\r\n"...)
+	}
 	return append(b, "\r\n"...)
 }
 
--- a/exchange/conn_test.go
+++ b/exchange/conn_test.go
@@ -4,6 +4,7 @@
 	"bufio"
 	"context"
 	"fmt"
+	"io"
 	"net"
 	"net/http"
 	"strings"
@@ -136,6 +137,62 @@
 			Expect(o.kept).To(Equal(c.kept))
 		})
 	}
+	announced := map[string]struct {
+		answers []string
+		body    string
+		err     error
+		got     bool // the peer was sent the body
+	}{
+		"is sent once the peer asks for it":             {[]string{"HTTP/1.1 100 Continue\n\n", answer("1", "abc")}, "abc", nil, true},
+		"is sent after signs of the peer":               {[]string{"HTTP/1.1 102 Processing\n\nHTTP/1.1 100 Continue\n\n", answer("1", "abc")}, "abc", nil, true},
+		"is not sent to a peer that refuses":            {[]string{answer("1", "no")}, "no", nil, false},
+		"is known not to have been sent when it breaks": {[]string{"HTTP/1.1 102 Processing\n\n", ""}, "", exchange.ErrNotSent, false},
+		"may have been taken when it breaks later":      {[]string{"HTTP/1.1 100 Continue\n\n", ""}, "", exchange.ErrBroken, true},
+	}
+	for name, c := range announced {
+		It("with an announced body: it "+name, func() {
+			l, err := net.Listen("tcp4", "127.0.0.1:0")
+			Expect(err).NotTo(HaveOccurred())
+			DeferCleanup(l.Close)
+			got := make(chan bool, 1)
+			go func() {
+				defer GinkgoRecover()
+				nc, err := l.Accept()
+				Expect(err).NotTo(HaveOccurred())
+				defer func() { _ = nc.Close() }()
+				br := bufio.NewReader(nc)
+				r, err := http.ReadRequest(br)
+				Expect(err).NotTo(HaveOccurred())
+				Expect(r.Header.Get("Expect")).To(Equal("100-continue"))
+				_, _ = nc.Write([]byte(strings.ReplaceAll(c.answers[0], "\n", "\r\n")))
+				_ = nc.SetReadDeadline(time.Now().Add(200 * time.Millisecond))
+				body := make([]byte, len("body"))
+				_, err = io.ReadFull(br, body)
+				got <- err == nil && string(body) == "body"
+				if len(c.answers) > 1 {
+					_, _ = nc.Write([]byte(strings.ReplaceAll(c.answers[1], "\n", "\r\n")))
+				}
+			}()
+			conn, err := exchange.Dial(context.Background(), l.Addr().String(), timeout)
+			Expect(err).NotTo(HaveOccurred())
+			defer conn.Close()
+			r := request("1")
+			r.Method, r.Body, r.Announced = http.MethodPost, []byte("body"), true
+			ctx, cancel := context.WithTimeout(context.Background(), timeout)
+			defer cancel()
+			a, err := conn.Do(ctx, r)
+			Expect(<-got).To(Equal(c.got))
+			if c.err != nil {
+				Expect(err).To(MatchError(c.err))
+				return
+			}
+			Expect(err).NotTo(HaveOccurred())
+			body, _, err := a.ReadWhole(1 << 20)
+			Expect(err).NotTo(HaveOccurred())
+			Expect(string(body)).To(Equal(c.body))
+			Expect(a.Release(time.Now()) != nil).To(Equal(c.got), "a peer that was not sent the body may take other bytes for it")
+		})
+	}
 	It("skips an extra answer that comes late, where the next answer is due", func() {
 		conn, err := exchange.Dial(context.Background(), serveRaw(answer("1", "first"), answer("1", "first again")+answer("2", "second")), timeout)
 		Expect(err).NotTo(HaveOccurred())
--- a/gate/carry.go
+++ b/gate/carry.go
@@ -34,10 +34,7 @@
 	g.meters.outcome(o)
 	switch o := o.(type) {
 	case hop.Refused:
-		if o.Cause != hop.Busy {
-			g.deps.Log.Info("call refused at the gate", "call", c.ID, "cause", o.Cause, "service", c.Service, "instance", c.Instance,
-				"rank", c.Rank, "running", o.Load.Running, "waiting", o.Load.Waiting, "limit", o.Load.Limit, "expected_wait", o.RetryAfter)
-		}
+		g.logRefusal(c, o)
 	case hop.Failed:
 		g.deps.Log.Info("call failed at the target", "call", c.ID, "cause", o.Cause, "service", c.Service, "instance", c.Instance,
 			"left", c.Deadline.Sub(g.deps.Now()))
@@ -45,6 +42,14 @@
 	return o
 }
 
+func (g *Gate) logRefusal(c *hop.Call, o hop.Refused) {
+	if o.Cause == hop.Busy {
+		return
+	}
+	g.deps.Log.Info("call refused at the gate", "call", c.ID, "cause", o.Cause, "service", c.Service, "instance", c.Instance, "rank", c.Rank,
+		"running", o.Load.Running, "waiting", o.Load.Waiting, "limit", o.Load.Limit, "inbound", o.Load.Inbound, "expected_wait", o.RetryAfter)
+}
+
 func (g *Gate) do(ctx context.Context, c *hop.Call) hop.Outcome {
 	s, refused := g.admit(ctx, c)
 	if refused != nil {
@@ -164,7 +169,7 @@
 		}
 		w := g.running[c.ID]
 		g.running[c.ID] = work{w.attempts + 1, w.repeat || c.Repeat}
-		if size := g.sizes[c.Route]; !c.Here && size >= BulkSize {
+		if size := g.sizes[c.Route]; !c.Here && size >= hop.BulkSize {
 			s.claim = g.deps.Uplink.Reserve(int(size), c.Aim)
 		}
 		return s, nil
@@ -196,7 +201,7 @@
 // linkFull reports whether a long answer to another VM could not leave within the call's aim; it is called with mu held.
 func (g *Gate) linkFull(now time.Time, c *hop.Call) bool {
 	size := g.sizes[c.Route]
-	if c.Here || size < BulkSize {
+	if c.Here || size < hop.BulkSize {
 		return false
 	}
 	backlog := g.deps.Uplink.Backlog()
@@ -366,7 +371,7 @@
 	size := max(int(out.Length), len(out.Body))
 	switch {
 	case c.Here:
-	case size < BulkSize:
+	case size < hop.BulkSize:
 		g.deps.Uplink.Note(size + headBytes)
 		s.claim.Set(0)
 	default:
--- a/gate/gate.go
+++ b/gate/gate.go
@@ -31,21 +31,26 @@
 	Log     *slog.Logger
 	Metrics *metrics.Set
 	Now     func() time.Time
-	Uplink  *Uplink
+	Uplink  *Link // what the VM sends
+	// Downlink is what comes to the VM.
+	Downlink *Link
 	// Changed is called when what the node publishes of its target has changed.
 	Changed func()
 }
 
 // Gate is the way in to the target beside a node; it is safe for concurrent use.
 type Gate struct {
-	deps   Deps
-	meters *meters
+	deps    Deps
+	meters  *meters
+	leaving context.Context // ends when the node leaves
+	leave   context.CancelFunc
 
 	mu       sync.Mutex
 	life     *lifecycle.Life
 	queue    *Queue
 	pool     *exchange.Pool
 	closed   bool // the node leaves
+	intake   intake
 	health   config.PlanService
 	address  fleet.Address // where the settings expect the target
 	service  config.ServiceName
@@ -60,7 +65,8 @@
 
 // New returns a gate for a target of a service that the settings expect at an address.
 func New(deps Deps, service config.ServiceName, address fleet.Address) *Gate {
-	return &Gate{deps: deps, meters: newMeters(deps.Metrics), life: lifecycle.NewLife(), queue: NewQueue(), pool: exchange.NewPool(maxIdle),
+	leaving, leave := context.WithCancel(context.Background())
+	return &Gate{deps: deps, leaving: leaving, leave: leave, intake: intake{link: deps.Downlink}, meters: newMeters(deps.Metrics), life: lifecycle.NewLife(), queue: NewQueue(), pool: exchange.NewPool(maxIdle),
 		service: service, address: address, pace: 1, running: map[hop.CallID]work{}, sizes: map[config.RouteName]float64{}}
 }
 
@@ -199,18 +205,20 @@
 	return h, nil
 }
 
-// Close refuses new calls from now on; those that run or wait go on.
+// Close refuses new calls and announced bodies from now on; calls that run or wait for a slot go on.
 func (g *Gate) Close() {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	g.closed = true
+	g.leave()
 }
 
 // Load returns what the gate says of its target to a call.
 func (g *Gate) load(now time.Time, c *hop.Call) hop.Load {
 	o := g.life.Occupant()
 	l := hop.Load{Running: g.queue.Running(), Waiting: g.queue.Waiting(), Limit: g.queue.Limit(),
-		Hold: time.Duration(float64(g.queue.Hold()) * g.pace), Wait: g.queue.Wait(now, ticket(c)), Cold: now.Before(o.WarmAt), Pressed: g.queue.Pressed(now), Link: g.deps.Uplink.Backlog()}
+		Hold: time.Duration(float64(g.queue.Hold()) * g.pace), Wait: g.queue.Wait(now, ticket(c)), Cold: now.Before(o.WarmAt), Pressed: g.queue.Pressed(now), Link: g.deps.Uplink.Backlog(),
+		Inbound: g.deps.Downlink.Backlog()}
 	l.Failing = int(100 * g.failureShare(now))
 	return l
 }
--- a/gate/uplink.go
+++ b/gate/link.go
@@ -10,18 +10,16 @@
 )
 
 const (
-	// BulkSize is the size from which an answer is sent piece by piece, in bytes; smaller ones go ahead of it.
-	BulkSize    = 8 << 10
 	bitsPerByte = 8
-	uplinkShare = 0.85                  // of the VM's link, which bulk answers may fill; the rest is for what can't be seen from here
+	linkShare   = 0.85                  // of the VM's link, which bulk answers may fill; the rest is for what can't be seen from here
 	lateYield   = time.Second           // by which a late answer lets others go first; clients give a call several aims of time
 	catchUp     = 20 * time.Millisecond // of a late timer that the pieces after it make up for; a frozen process makes up for no more
 )
 
-// Uplink orders what a VM's link carries to other VMs: short answers never queue behind long ones in the network, and of the
+// Link orders what a VM's link carries to other VMs: short answers never queue behind long ones in the network, and of the
 // long ones that which has to be there first is sent whole before the next. Sharing the link among all of them would make
 // all late on a link that is full. It is safe for concurrent use.
-type Uplink struct {
+type Link struct {
 	now  func() time.Time
 	rate float64 // bytes a second; zero means that nothing is ordered
 
@@ -34,7 +32,7 @@
 
 // Reservation is a bulk answer's claim on the link; the nil reservation claims nothing.
 type Reservation struct {
-	u    *Uplink
+	u    *Link
 	aim  time.Time // an answer is of full use until then
 	left int
 }
@@ -47,7 +45,7 @@
 }
 
 // Reserve counts an answer of so many bytes before it is there, so that the backlog tells of it.
-func (u *Uplink) Reserve(bytes int, aim time.Time) *Reservation {
+func (u *Link) Reserve(bytes int, aim time.Time) *Reservation {
 	u.mu.Lock()
 	defer u.mu.Unlock()
 	u.pending += bytes
@@ -65,20 +63,20 @@
 	r.left = bytes
 }
 
-// NewUplink returns the order for a link; a rate of zero means that it is not known.
-func NewUplink(r fleet.BitRate, now func() time.Time) *Uplink {
-	return &Uplink{now: now, rate: float64(r) / bitsPerByte * uplinkShare}
+// NewLink returns the order for a link; a rate of zero means that it is not known.
+func NewLink(r fleet.BitRate, now func() time.Time) *Link {
+	return &Link{now: now, rate: float64(r) / bitsPerByte * linkShare}
 }
 
 // Backlog returns how long the bytes taken so far still need.
-func (u *Uplink) Backlog() time.Duration {
+func (u *Link) Backlog() time.Duration {
 	u.mu.Lock()
 	defer u.mu.Unlock()
 	return max(u.free.Sub(u.now()), 0) + u.Time(u.pending)
 }
 
 // Time returns how long bytes take on the link.
-func (u *Uplink) Time(bytes int) time.Duration {
+func (u *Link) Time(bytes int) time.Duration {
 	if u.rate == 0 {
 		return 0
 	}
@@ -86,17 +84,18 @@
 }
 
 // Note counts bytes that are sent at once.
-func (u *Uplink) Note(bytes int) {
+func (u *Link) Note(bytes int) {
 	u.mu.Lock()
 	defer u.mu.Unlock()
 	u.rest(u.now())
 	u.free = u.free.Add(u.Time(bytes))
 }
 
-// Wait counts the bytes of a piece of a bulk answer against its claim and waits until they may be sent, or until ctx ends.
-func (u *Uplink) Wait(ctx context.Context, r *Reservation, bytes int) {
+// Wait counts the bytes of a piece of a bulk answer against its claim and waits until they may be sent; it reports false when
+// ctx ended before.
+func (u *Link) Wait(ctx context.Context, r *Reservation, bytes int) bool {
 	if u.rate == 0 {
-		return
+		return true
 	}
 	p := &piece{r, bytes, make(chan struct{})}
 	u.mu.Lock()
@@ -108,15 +107,25 @@
 	u.mu.Unlock()
 	select {
 	case <-p.turn:
+		return true
 	case <-ctx.Done():
 		u.mu.Lock()
+		defer u.mu.Unlock()
+		waiting := len(u.waiting)
 		u.waiting = slices.DeleteFunc(u.waiting, func(o *piece) bool { return o == p })
-		u.mu.Unlock()
+		return len(u.waiting) == waiting // its turn came at the same moment
 	}
 }
 
+// Return takes back bytes whose turn came and that are not sent.
+func (u *Link) Return(bytes int) {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	u.free = u.free.Add(-u.Time(bytes))
+}
+
 // grant lets pieces go as long as the link has room for them; it is called with mu held.
-func (u *Uplink) grant() {
+func (u *Link) grant() {
 	now := u.now()
 	u.rest(now.Add(-catchUp))
 	for len(u.waiting) > 0 && !u.free.After(now) {
@@ -144,7 +153,7 @@
 }
 
 // first returns the index of the piece that goes next: that of the answer which has to be there first.
-func (u *Uplink) first(now time.Time) int {
+func (u *Link) first(now time.Time) int {
 	best := 0
 	for i := 1; i < len(u.waiting); i++ {
 		if a, b := u.waiting[i].r, u.waiting[best].r; a != nil && b != nil && u.due(now, a).Before(u.due(now, b)) {
@@ -156,7 +165,7 @@
 
 // due returns when an answer has to be there: its aim, or a while after it for one that will miss its aim in any case. Such
 // an answer gives way for that while only, for its work is done and its caller waits.
-func (u *Uplink) due(now time.Time, r *Reservation) time.Time {
+func (u *Link) due(now time.Time, r *Reservation) time.Time {
 	if now.Add(u.Time(r.left)).After(r.aim) {
 		return r.aim.Add(lateYield)
 	}
@@ -164,7 +173,7 @@
 }
 
 // rest notes that the link was idle until a time.
-func (u *Uplink) rest(until time.Time) {
+func (u *Link) rest(until time.Time) {
 	if u.free.Before(until) {
 		u.free = until
 	}
--- a/gate/uplink_test.go
+++ b/gate/link_test.go
@@ -13,7 +13,7 @@
 var _ = Describe("the order on a VM's link", func() {
 	It("lets bulk answers fill no more than their share, and short ones add to the backlog without waiting", func() {
 		now := start
-		u := gate.NewUplink(8e6, func() time.Time { return now })
+		u := gate.NewLink(8e6, func() time.Time { return now })
 		Expect(u.Backlog()).To(BeZero())
 		u.Note(85_000)
 		Expect(u.Backlog()).To(Equal(100 * time.Millisecond))
@@ -23,7 +23,7 @@
 		Expect(u.Backlog()).To(BeZero())
 	})
 	It("keeps pieces of bulk answers apart by the time that they take", func() {
-		u := gate.NewUplink(8e6, time.Now)
+		u := gate.NewLink(8e6, time.Now)
 		begun := time.Now()
 		for range 5 {
 			u.Wait(context.Background(), nil, 8500) // 10 ms each
@@ -32,7 +32,7 @@
 	})
 	It("tells of answers that are expected, and of each byte once", func() {
 		now := start
-		u := gate.NewUplink(8e6, func() time.Time { return now })
+		u := gate.NewLink(8e6, func() time.Time { return now })
 		r := u.Reserve(85_000, start)
 		Expect(u.Backlog()).To(Equal(100 * time.Millisecond))
 		u.Wait(context.Background(), r, 8_500)
@@ -43,7 +43,7 @@
 		Expect(u.Backlog()).To(Equal(10 * time.Millisecond))
 	})
 	It("gives up when the caller has gone", func() {
-		u := gate.NewUplink(8e3, time.Now)
+		u := gate.NewLink(8e3, time.Now)
 		u.Note(10_000)
 		ctx, cancel := context.WithCancel(context.Background())
 		cancel()
@@ -52,7 +52,7 @@
 		Expect(time.Since(begun)).To(BeNumerically("<", time.Second))
 	})
 	It("sends the answer that has to be there first whole before the next, and a late one not after all others", func() {
-		u := gate.NewUplink(8e6, time.Now)
+		u := gate.NewLink(8e6, time.Now)
 		begun := time.Now()
 		u.Note(17_000) // 20 ms in which all of them come
 		aims := map[string]time.Duration{"late": 10 * time.Millisecond, "third": 900 * time.Millisecond, "first": 300 * time.Millisecond, "second": 600 * time.Millisecond,
@@ -83,7 +83,7 @@
 		Expect(first).To(BeNumerically("<", 150*time.Millisecond), "270 ms if they shared the link")
 	})
 	It("orders nothing on a link that is not known", func() {
-		u := gate.NewUplink(0, time.Now)
+		u := gate.NewLink(0, time.Now)
 		u.Note(1 << 30)
 		Expect(u.Backlog()).To(BeZero())
 	})
--- a/hop/call.go
+++ b/hop/call.go
@@ -28,6 +28,9 @@
 	Queue
 )
 
+// BulkSize is the size from which bodies wait for their turn on a VM's link, in bytes; smaller ones go ahead of them.
+const BulkSize = 8 << 10
+
 // Call is a call on its way to one target.
 type Call struct {
 	ID         CallID
@@ -43,6 +46,8 @@
 	Rank       Rank
 	Repeatable bool
 	Repeat     bool // an earlier attempt may have reached a target
+	// Announced asks the target's node for its leave before the body is sent.
+	Announced bool
 	// GiveUp is asked when the node gives no sign for a while; only if it agrees is the attempt broken off. It may be nil.
 	GiveUp   func() bool
 	Patience Patience
@@ -61,6 +66,7 @@
 	Failing int           // percent of recent calls that failed
 	Cold    bool
 	Link    time.Duration // backlog of the VM's link, which long answers wait for
+	Inbound time.Duration // backlog of announced bodies on the way to the VM
 	Pressed bool          // calls that could have been in time are refused
 }
 
--- a/hop/header.go
+++ b/hop/header.go
@@ -12,6 +12,7 @@
 // The headers between nodes.
 const (
 	callHeader    = "Cassialead-Call"
+	expectHeader  = "Expect" // of an announced body
 	outcomeHeader = "Cassialead-Outcome"
 )
 
@@ -48,6 +49,7 @@
 	Cold         bool
 	Pressed      bool
 	LinkUs       int64
+	InboundUs    int64
 	TargetStatus int
 }
 
@@ -83,13 +85,14 @@
 }
 
 // ReadCall reads and removes the header that describes a call; the caller's own part comes from the request itself.
-func ReadCall(r *http.Request, body []byte, now time.Time) (*Call, error) {
+func ReadCall(r *http.Request, now time.Time) (*Call, error) {
 	var w callWire
 	if err := decode(r.Header.Get(callHeader), &w); err != nil {
 		return nil, err
 	}
 	delete(r.Header, callHeader)
-	c := &Call{Method: r.Method, URI: r.RequestURI, Host: r.Host, Header: r.Header, Body: body}
+	c := &Call{Method: r.Method, URI: r.RequestURI, Host: r.Host, Header: r.Header, Announced: r.Header.Get(expectHeader) != ""}
+	delete(r.Header, expectHeader)
 	c.ID, c.Rank, c.Repeatable, c.Repeat, c.Patience = CallID(w.ID), Rank(w.Rank), w.Repeatable, w.Repeat, Patience(w.Patience)
 	c.set(w)
 	c.Aim = now.Add(time.Duration(w.AimUs) * time.Microsecond)
@@ -111,7 +114,7 @@
 		w.Kind, w.Cause, l, status = kindFailed, string(o.Cause), o.Load, http.StatusBadGateway
 	}
 	w.Running, w.Waiting, w.Limit, w.HoldUs, w.WaitUs = l.Running, l.Waiting, l.Limit, l.Hold.Microseconds(), l.Wait.Microseconds()
-	w.LinkUs = l.Link.Microseconds()
+	w.LinkUs, w.InboundUs = l.Link.Microseconds(), l.Inbound.Microseconds()
 	w.Failing, w.Cold, w.Pressed, w.TargetStatus = l.Failing, l.Cold, l.Pressed, status
 	h[outcomeHeader] = []string{encode(w)}
 	return status
@@ -130,7 +133,7 @@
 	}
 	l := Load{Running: w.Running, Waiting: w.Waiting, Limit: w.Limit, Hold: time.Duration(w.HoldUs) * time.Microsecond,
 		Wait: time.Duration(w.WaitUs) * time.Microsecond, Failing: w.Failing, Cold: w.Cold, Pressed: w.Pressed,
-		Link: time.Duration(w.LinkUs) * time.Microsecond}
+		Link: time.Duration(w.LinkUs) * time.Microsecond, Inbound: time.Duration(w.InboundUs) * time.Microsecond}
 	switch w.Kind {
 	case kindAnswered:
 		return &Answered{Status: resp.StatusCode, Header: resp.Header, Length: resp.ContentLength, Load: l}, CallID(w.ID), nil
--- a/hop/line.go
+++ b/hop/line.go
@@ -5,6 +5,7 @@
 	"net/http"
 	"os"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -80,13 +81,18 @@
 
 func (l *Lines) carry(ctx context.Context, cancel context.CancelCauseFunc, to fleet.Address, c *Call) Outcome {
 	pool := l.pool(to)
+	var granted atomic.Bool
 	silence := time.AfterFunc(silenceLimit, func() {
-		if c.GiveUp != nil && c.GiveUp() {
+		// An announced call whose body has not been asked for can't have run.
+		if c.Announced && !granted.Load() || c.GiveUp != nil && c.GiveUp() {
 			cancel(errSilent)
 		}
 	})
 	defer silence.Stop()
-	a, err := l.send(ctx, pool, to, c, func() { silence.Stop() })
+	a, err := l.send(ctx, pool, to, c, func(status int) {
+		granted.Store(granted.Load() || status == http.StatusContinue)
+		silence.Stop()
+	})
 	if err != nil {
 		return l.failed(ctx, c, err)
 	}
@@ -113,10 +119,10 @@
 	return answered
 }
 
-func (l *Lines) send(ctx context.Context, pool *exchange.Pool, to fleet.Address, c *Call, sign func()) (*exchange.Answer, error) {
-	r := &exchange.Request{Method: c.Method, URI: c.URI, Host: c.Host, Body: c.Body,
+func (l *Lines) send(ctx context.Context, pool *exchange.Pool, to fleet.Address, c *Call, sign func(status int)) (*exchange.Answer, error) {
+	r := &exchange.Request{Method: c.Method, URI: c.URI, Host: c.Host, Body: c.Body, Announced: c.Announced,
 		Match:   func(resp *http.Response) exchange.Match { return ownOutcome(resp, c.ID) },
-		Interim: func(int) { sign() }}
+		Interim: sign}
 	if c.Repeatable {
 		if kept := pool.Take(l.now(), unlimited); kept != nil {
 			r.Header = l.header(c)
--- a/hop/names.go
+++ b/hop/names.go
@@ -16,7 +16,7 @@
 
 // connectionHeaders hold for one connection only.
 var connectionHeaders = []string{"Connection", "Proxy-Connection", "Keep-Alive", "Proxy-Authenticate", "Proxy-Authorization",
-	"Te", "Trailer", "Transfer-Encoding", "Upgrade", "Content-Length"}
+	"Te", "Trailer", "Expect", "Transfer-Encoding", "Upgrade", "Content-Length"}
 
 // RemoveConnectionHeaders deletes what must not be passed on to another connection.
 func RemoveConnectionHeaders(h http.Header) {
