exchange, platform: heads, informational and earlier answers without end are bounded

Cause: an exchange read a head of any length; a target that sent one header line for ever took a node's heap to 739 MB within 3 s (measured before). So did endless informational answers, and an endless body behind an earlier answer held its slot to the deadline. All heads of one exchange may now have 64 KB together, an earlier answer 1 MB; beyond that the connection ends as malformed. Ruled out: chunk extensions and trailers, which net/http bounds already; they have cases too. Nine endless answers in the test end with what the sockets hold.

--- a/exchange/conn.go
+++ b/exchange/conn.go
@@ -25,6 +25,8 @@
 	keepAliveProbes  = 2               // lost probes that end a connection
 	defaultIdleLimit = 4 * time.Second // use of a kept connection whose peer states no limit
 	idleShare        = 0.6             // of the stated limit, so that a request does not cross the peer's close
+	maxHeads         = 64 << 10        // bytes of all heads of one exchange, those of informational and earlier answers included
+	maxSkipped       = 1 << 20         // bytes of an earlier request's answer
 )
 
 // The ways in which an exchange fails.
@@ -66,7 +68,8 @@
 type Conn struct {
 	nc        net.Conn
 	raw       syscall.RawConn
-	br        *bufio.Reader
+	in        allowance
+	br        *bufio.Reader // reads from in
 	idleSince time.Time
 	idleLimit time.Duration
 	used      bool
@@ -80,7 +83,8 @@
 	if err != nil {
 		return nil, fmt.Errorf("%w: %w", ErrNotSent, err)
 	}
-	c := &Conn{nc: nc, br: bufio.NewReaderSize(nc, readBuffer), idleLimit: defaultIdleLimit}
+	c := &Conn{nc: nc, in: allowance{r: nc, left: unbounded}, idleLimit: defaultIdleLimit}
+	c.br = bufio.NewReaderSize(&c.in, readBuffer)
 	if tc, ok := nc.(*net.TCPConn); ok {
 		if raw, err := tc.SyscallConn(); err == nil {
 			c.raw = raw
@@ -183,6 +187,7 @@
 		sendBody()
 	}
 	c.used = true
+	c.in.left = maxHeads
 	for {
 		resp, err := http.ReadResponse(c.br, &http.Request{Method: r.Method})
 		switch {
@@ -206,6 +211,7 @@
 			if awaiting {
 				resp.Close = true // the peer may still take what is sent next for the body
 			}
+			c.in.left = unbounded
 			return c.answer(resp, rest), nil
 		case Foreign:
 			return nil, errors.Wrapf(ErrMalformed, "answer of status %d names another request", resp.StatusCode)
@@ -213,12 +219,36 @@
 		if !framed(resp) {
 			return nil, errors.Wrap(ErrMalformed, "an earlier request's answer has no end")
 		}
+		heads := c.in.left
+		c.in.left = maxSkipped
 		if _, err := io.Copy(io.Discard, resp.Body); err != nil {
 			return nil, readError(err)
 		}
+		c.in.left = heads
 	}
 }
 
+// errTooLong ends the reading of bytes that come without end.
+var errTooLong = errors.New("the peer sent more than an answer may have")
+
+// unbounded is the allowance of a body, whose reader bounds it.
+const unbounded = 1<<63 - 1
+
+// allowance passes on bytes until so many have been read, then fails with errTooLong.
+type allowance struct {
+	r    io.Reader
+	left int64
+}
+
+func (a *allowance) Read(p []byte) (int, error) {
+	if a.left <= 0 {
+		return 0, errTooLong
+	}
+	n, err := a.r.Read(p[:min(int64(len(p)), a.left)])
+	a.left -= int64(n)
+	return n, err
+}
+
 // framed reports whether the answer's end can be told without the connection's end.
 func framed(resp *http.Response) bool {
 	return resp.ContentLength >= 0 || len(resp.TransferEncoding) > 0
--- a/exchange/conn_test.go
+++ b/exchange/conn_test.go
@@ -137,6 +137,46 @@
 			Expect(o.kept).To(Equal(c.kept))
 		})
 	}
+	endless := map[string]struct{ begin, again string }{
+		"a head of lines":                     {"HTTP/1.1 200 OK\r\n", "X: " + strings.Repeat("y", 100) + "\r\n"},
+		"a head of one line":                  {"HTTP/1.1 200 OK\r\nX: ", "yyyyyyyyyyyyyyyyyyyyyyyyyyyyyyyyyyyyyyyy"},
+		"bytes without a line's end":          {"", "yyyyyyyyyyyyyyyyyyyyyyyyyyyyyyyyyyyyyyyyyy"},
+		"informational answers":               {"", "HTTP/1.1 102 Processing\r\n\r\n"},
+		"earlier answers":                     {"", "HTTP/1.1 200 OK\r\nId: 0\r\nContent-Length: 0\r\n\r\n"},
+		"the body of an earlier answer":       {"HTTP/1.1 200 OK\r\nId: 0\r\nTransfer-Encoding: chunked\r\n\r\n", "4\r\nabcd\r\n"},
+		"an earlier answer of a great length": {"HTTP/1.1 200 OK\r\nId: 0\r\nContent-Length: 999999999999\r\n\r\n", "abcdefghijklmnopqrst"},
+		"the extension of a chunk":            {"HTTP/1.1 200 OK\r\nId: 1\r\nTransfer-Encoding: chunked\r\n\r\n4;", "yyyyyyyyyyyyyyyyyyyyyyyyyyy"},
+		"trailers":                            {"HTTP/1.1 200 OK\r\nId: 1\r\nTransfer-Encoding: chunked\r\n\r\n4\r\nabcd\r\n0\r\n", "X: yyyyyyyyyyyyyyyyyyyyyyyy\r\n"},
+	}
+	for name, c := range endless {
+		It("is ended when "+name+" come without end", func() {
+			l, err := net.Listen("tcp4", "127.0.0.1:0")
+			Expect(err).NotTo(HaveOccurred())
+			DeferCleanup(l.Close)
+			sent := make(chan int, 1)
+			go func() {
+				nc, err := l.Accept()
+				if err != nil {
+					return
+				}
+				_ = nc.(*net.TCPConn).SetWriteBuffer(64 << 10)
+				n, err := io.WriteString(nc, c.begin)
+				again := strings.Repeat(c.again, 100)
+				for err == nil {
+					var m int
+					m, err = io.WriteString(nc, again)
+					n += m
+				}
+				sent <- n
+			}()
+			conn, err := exchange.Dial(context.Background(), l.Addr().String(), timeout)
+			Expect(err).NotTo(HaveOccurred())
+			o := do(conn, "1")
+			Expect(o.err).To(MatchError(exchange.ErrMalformed))
+			Expect(o.kept).To(BeFalse())
+			Eventually(sent).WithTimeout(timeout).Should(Receive(BeNumerically("<", 8<<20)), "with what the sockets hold")
+		})
+	}
 	announced := map[string]struct {
 		answers []string
 		body    string
