agent: the bodies that a node holds are bounded together, and callers are held to the configuration's bounds on heads and bodies

Cause: bodies were held whole with a bound for one only (64 MB by default), a slow caller could keep one half sent for ever, and maxHeaderBytes was read and used nowhere. An eighth of the process's memory is for bodies: a body for which there is no room is refused as not run, before it is read if its length is known. Ruled out: refusing by the count of requests, since sizes differ a thousandfold.

--- a/agent/agent.go
+++ b/agent/agent.go
@@ -62,6 +62,7 @@
 	otherCut atomic.Bool   // the other head said so of itself
 	storm    bool          // configurations come faster than they are read; feed alone uses it
 	inflight inflight
+	bodies   bodies
 	servers  []*http.Server
 }
 
@@ -69,6 +70,7 @@
 func New(cfg settings.Agent, deps Deps) *Agent {
 	a := &Agent{deps: deps, born: deps.Now(), view: member.NewView(), changed: make(chan struct{}), avoided: map[fleet.NodeID]time.Time{}, lines: hop.NewLines(deps.Now)}
 	a.cfg.Store(&cfg)
+	a.bodies.most = cfg.MemoryBytes / bodiesShare
 	a.heard.Store(int64(-freshTime)) // not yet
 	a.board = dispatch.NewBoard(dispatch.Place{Node: cfg.VM, DataCentre: cfg.DataCentre, Region: cfg.Region})
 	a.budget = dispatch.NewBudget(dispatch.RepeatBounds{Ratio: cfg.RepeatRatio, Slack: cfg.RepeatSlack, Window: cfg.RepeatWindow})
@@ -77,7 +79,7 @@
 	a.dispatcher = dispatch.New(dispatch.Deps{Board: a.board, Carrier: a.lines, Local: a.gate, Budget: a.budget, Log: deps.Log,
 		Metrics: deps.Metrics, Now: deps.Now})
 	a.registrar = newRegistrar(a)
-	a.peers = &http.Client{Transport: &http.Transport{DialContext: (&net.Dialer{Timeout: peerTimeout}).DialContext, DisableKeepAlives: true},
+	a.peers = &http.Client{Transport: &http.Transport{DialContext: (&net.Dialer{Timeout: peerTimeout}).DialContext, DisableKeepAlives: true, MaxResponseHeaderBytes: maxHead},
 		Timeout: peerTimeout}
 	return a
 }
@@ -257,7 +259,7 @@
 			return errors.Wrapf(err, "listen for %s", s.name)
 		}
 		server := &http.Server{Handler: s.handler, ErrorLog: slog.NewLogLogger(a.deps.Log.Handler(), slog.LevelDebug),
-			ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout,
+			MaxHeaderBytes: maxHead, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout,
 			ConnContext: func(ctx context.Context, c net.Conn) context.Context {
 				return context.WithValue(ctx, connectionKey{}, c)
 			}}
@@ -272,6 +274,7 @@
 }
 
 const (
+	maxHead       = 64 << 10         // bytes of a request's or an answer's head, above what any configuration allows callers
 	headerTimeout = 10 * time.Second // above what any configuration allows callers
 	idleTimeout   = 2 * time.Minute  // above what any configuration allows callers
 )
--- a/agent/agent_test.go
+++ b/agent/agent_test.go
@@ -292,6 +292,29 @@
 			s.nodes[0].app.fault.Store(fault(nil))
 		}
 	})
+	It("is a refusal, not run, where what it sends is over a bound in bytes or time", func() {
+		s := newSiteWith(func(cfg *settings.Agent) { cfg.MemoryBytes = 1 << 20 }, "orders", "stock") // 128 KB for bodies
+		raw := func(head, body string) int {
+			c, err := net.Dial("tcp4", string(s.nodes[1].cfg.Call))
+			Expect(err).NotTo(HaveOccurred())
+			defer func() { _ = c.Close() }()
+			_, err = io.WriteString(c, "POST /orders/1 HTTP/1.1\r\nHost: a.example\r\nTimeout-Ms: 400\r\n"+head+"\r\n\r\n"+body)
+			Expect(err).NotTo(HaveOccurred())
+			_ = c.SetReadDeadline(time.Now().Add(patience))
+			resp, err := http.ReadResponse(bufio.NewReader(c), nil)
+			Expect(err).NotTo(HaveOccurred())
+			return resp.StatusCode
+		}
+		Expect(raw("Content-Length: 300000", "")).To(Equal(503), "before the body is sent")
+		Expect(raw("Content-Length: 2000000", "")).To(Equal(413))
+		Expect(raw("Content-Length: 10", "part")).To(Equal(408), "the caller waits no longer than that")
+		Expect(raw("Transfer-Encoding: chunked", "4\r\npart\r\n")).To(Equal(408))
+		Expect(raw("Transfer-Encoding: chunked", "249f0\r\n"+strings.Repeat("x", 150_000)+"\r\n0\r\n\r\n")).To(Equal(503))
+		Expect(raw("X: "+strings.Repeat("y", 20_000), "")).To(Equal(431))
+		Expect(s.nodes[0].app.runs.Load()).To(BeZero())
+		status, _, _ := s.nodes[1].call(http.MethodPost, "/orders/1", strings.Repeat("x", 100_000))
+		Expect(status).To(Equal(200), "nothing of the refused ones is counted any more")
+	})
 	It("comes on a connection that stays open, unless it is a refusal", func() {
 		s := newSite("orders", "stock")
 		kept := func() bool {
--- a/agent/peer.go
+++ b/agent/peer.go
@@ -81,9 +81,6 @@
 	writeAnswer(w, answered, status)
 }
 
-// bodyTime bounds the arrival of a body that has been asked for: a lost packet's repeat on top of its time on the link.
-const bodyTime = 2 * time.Second
-
 // takeCall brings another node's call to the target; it returns nil if the call's body did not come whole.
 func (a *Agent) takeCall(w http.ResponseWriter, r *http.Request, c *hop.Call, s *sign) hop.Outcome {
 	if c.Announced {
@@ -93,31 +90,19 @@
 		}
 		s.goAhead()
 	}
-	body, err := a.readPeerBody(w, r)
-	if err != nil {
-		a.deps.Log.Info("call of a node not read", "call", c.ID, "from", r.RemoteAddr, "error", err)
+	body, cause := a.readBody(w, r, bodyTime)
+	switch {
+	case cause == hop.BodiesFull:
+		return hop.Refused{Cause: cause, RetryAfter: bodiesRetry}
+	case cause != "":
+		a.deps.Log.Info("call of a node not read", "call", c.ID, "from", r.RemoteAddr, "cause", cause)
 		return nil
 	}
+	defer a.bodies.release(len(body))
 	c.Body = body
 	return a.gate.Do(r.Context(), c)
 }
 
-// readPeerBody reads the body of another node's call within bodyTime.
-func (a *Agent) readPeerBody(w http.ResponseWriter, r *http.Request) ([]byte, error) {
-	if r.ContentLength == 0 {
-		return nil, nil
-	}
-	rc := http.NewResponseController(w)
-	if err := rc.SetReadDeadline(a.deps.Now().Add(bodyTime)); err != nil {
-		return nil, errors.Wrap(err, "bound the body's time")
-	}
-	body, cause := a.readBody(r)
-	if cause != "" {
-		return nil, errors.Newf("read the body: %s", cause)
-	}
-	return body, errors.Wrap(rc.SetReadDeadline(time.Time{}), "lift the body's bound")
-}
-
 // connectionKey is the key of a request's connection in its context.
 type connectionKey struct{}
 
--- a/agent/serve.go
+++ b/agent/serve.go
@@ -18,7 +18,6 @@
 const (
 	maxHeartbeat   = 16 << 10               // bytes of a heartbeat
 	departureWait  = 500 * time.Millisecond // for the store to keep a departure; a target waits a second for the answer
-	defaultBody    = 64 << 20               // bytes of a body before a configuration says otherwise
 	copyBuffer     = 32 << 10
 	minRetryAfter  = 50 * time.Millisecond
 	retryAfterSpan = 0.5 // of the time to come back, by which returns are spread
@@ -36,46 +35,18 @@
 		writeOutcome(w, in.ID, hop.Refused{Cause: hop.Closed, RetryAfter: returnTime})
 		return
 	}
-	body, cause := a.readBody(r)
+	body, cause := a.takeRequest(w, r, in.Left)
 	if cause != "" {
-		a.deps.Log.Info("request not read", "call", in.ID, "cause", cause)
-		writeOutcome(w, in.ID, hop.Refused{Cause: cause})
+		a.deps.Log.Info("request not read", "call", in.ID, "cause", cause, "length", r.ContentLength, "held", a.bodies.held.Load())
+		writeOutcome(w, in.ID, hop.Refused{Cause: cause, RetryAfter: bodiesRetry})
 		return
 	}
+	defer a.bodies.release(len(body))
 	in.Body = body
 	o := a.dispatcher.Do(r.Context(), in)
 	writeOutcome(w, in.ID, o)
 }
 
-// readBody reads a request's body whole, so that it can be sent again and a slow caller holds no slot.
-func (a *Agent) readBody(r *http.Request) ([]byte, hop.Cause) {
-	if r.Body == nil || r.Body == http.NoBody {
-		return nil, ""
-	}
-	most := int64(defaultBody)
-	if p := a.dispatcher.Plan(); p != nil && p.Limits.Body > 0 {
-		most = int64(p.Limits.Body)
-	}
-	if r.ContentLength > most {
-		return nil, hop.TooLarge
-	}
-	if n := r.ContentLength; n >= 0 {
-		body := make([]byte, n)
-		if _, err := io.ReadFull(r.Body, body); err != nil {
-			return nil, hop.BadRequest
-		}
-		return body, ""
-	}
-	body, err := io.ReadAll(io.LimitReader(r.Body, most+1))
-	switch {
-	case err != nil:
-		return nil, hop.BadRequest
-	case int64(len(body)) > most:
-		return nil, hop.TooLarge
-	}
-	return body, ""
-}
-
 // writeOutcome answers a caller.
 func writeOutcome(w http.ResponseWriter, id hop.CallID, o hop.Outcome) {
 	switch o := o.(type) {
@@ -103,8 +74,12 @@
 		status = http.StatusNotFound
 	case hop.TooLarge:
 		status = http.StatusRequestEntityTooLarge
+	case hop.HeadTooLarge:
+		status = http.StatusRequestHeaderFieldsTooLarge
 	case hop.BadRequest:
 		status = http.StatusBadRequest
+	case hop.BodyLate:
+		status = http.StatusRequestTimeout
 	default:
 		after := max(o.RetryAfter, minRetryAfter)
 		after += time.Duration(rand.Float64() * retryAfterSpan * float64(after))
--- a/hop/call.go
+++ b/hop/call.go
@@ -75,27 +75,30 @@
 
 // The causes of refusals, which promise that the call has not run, and of failures, which promise nothing.
 const (
-	Busy        Cause = "busy"         // other targets may be free
-	TooLate     Cause = "too-late"     // the expected wait is longer than the time left
-	Expired     Cause = "expired"      // its time ended while it waited
-	QueueFull   Cause = "queue-full"   // more calls wait than can be served in time
-	Closed      Cause = "closed"       // the target or its node leaves
-	NotHere     Cause = "not-here"     // another target is here, or none
-	TargetDown  Cause = "target-down"  // the target takes no connections
-	TargetShed  Cause = "target-shed"  // the target said that it did not run the call
-	Unreachable Cause = "unreachable"  // the target's node takes no connections
-	NoTarget    Cause = "no-target"    // no target of the service is known
-	NoRoute     Cause = "no-route"     // no rule covers the request
-	NoPlan      Cause = "no-plan"      // the node holds no configuration yet
-	NoBudget    Cause = "no-budget"    // repeats are used up
-	TooLarge    Cause = "too-large"    // the request is over a limit
-	BadRequest  Cause = "bad-request"  // the request broke off or is malformed
-	TimedOut    Cause = "timeout"      // no answer by the deadline
-	Broken      Cause = "broken"       // the connection to the target ended
-	Silent      Cause = "silent"       // the target's node gave no sign of life
-	BadAnswer   Cause = "bad-answer"   // bytes that are no genuine answer
-	CallerGone  Cause = "caller-gone"  // the caller closed its connection
-	TargetError Cause = "target-error" // the target answered with an error of its own
+	Busy         Cause = "busy"           // other targets may be free
+	TooLate      Cause = "too-late"       // the expected wait is longer than the time left
+	Expired      Cause = "expired"        // its time ended while it waited
+	QueueFull    Cause = "queue-full"     // more calls wait than can be served in time
+	Closed       Cause = "closed"         // the target or its node leaves
+	NotHere      Cause = "not-here"       // another target is here, or none
+	TargetDown   Cause = "target-down"    // the target takes no connections
+	TargetShed   Cause = "target-shed"    // the target said that it did not run the call
+	Unreachable  Cause = "unreachable"    // the target's node takes no connections
+	NoTarget     Cause = "no-target"      // no target of the service is known
+	NoRoute      Cause = "no-route"       // no rule covers the request
+	NoPlan       Cause = "no-plan"        // the node holds no configuration yet
+	NoBudget     Cause = "no-budget"      // repeats are used up
+	HeadTooLarge Cause = "head-too-large" // the request's head is over a limit
+	TooLarge     Cause = "too-large"      // the request is over a limit
+	BadRequest   Cause = "bad-request"    // the request broke off or is malformed
+	BodyLate     Cause = "body-late"      // its body did not come in time
+	BodiesFull   Cause = "bodies-full"    // the node holds as many bytes of bodies as it may
+	TimedOut     Cause = "timeout"        // no answer by the deadline
+	Broken       Cause = "broken"         // the connection to the target ended
+	Silent       Cause = "silent"         // the target's node gave no sign of life
+	BadAnswer    Cause = "bad-answer"     // bytes that are no genuine answer
+	CallerGone   Cause = "caller-gone"    // the caller closed its connection
+	TargetError  Cause = "target-error"   // the target answered with an error of its own
 )
 
 // Outcome is what became of a call: Answered, Refused or Failed.
