dispatch: a silent node's attempt goes on while another target is asked; the first answer counts

The second attempt now runs beside the first, at a target believed to have room or in the shortest queue, paid from the budget; what reached no target is paid back.

Tried with it and taken out: a second attempt of any safe call that takes longer than 95 in 100 of its route, where a target has room and the answer could still be in time. A second run does not draw its work anew, so only the queue in front of it could be gained, and those calls stand in it because all are full.

--- a/dispatch/budget.go
+++ b/dispatch/budget.go
@@ -95,6 +95,14 @@
 	return true
 }
 
+// Refund gives back a repeat that was spent and has reached no target.
+func (b *Budget) Refund(s config.ServiceName, now time.Time) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	p := b.purse(s, now)
+	p.tokens = min(p.tokens+1, b.most())
+}
+
 // slack is this node's part of the repeats that a window allows whatever the calls.
 func (b *Budget) slack() float64 {
 	if b.nodes == 0 {
--- a/dispatch/trip.go
+++ b/dispatch/trip.go
@@ -50,15 +50,8 @@
 			return t.giveUp()
 		}
 		t.hops++
-		c := t.call
-		c.Instance = p.Instance
-		c.Announced = len(c.Body) >= hop.BulkSize && p.Distance != SameVM
-		c.GiveUp = t.giveUpSilent(p)
-		p.begin()
-		o := t.carry(ctx, p, &c)
+		p, o := t.race(ctx, p)
 		now := t.d.deps.Now()
-		p.end(o, now)
-		t.d.press.note(t.call.Service, o, now)
 		if t.settles(ctx, p, o, now) {
 			if _, ok := o.(hop.Refused); ok {
 				o = t.refused
@@ -68,26 +61,6 @@
 	}
 }
 
-// giveUpSilent returns what decides whether an attempt at a silent node is broken off: only for another one, which is paid
-// for at that moment. The work of a target is not thrown away for nothing.
-func (t *trip) giveUpSilent(p *Peer) func() bool {
-	if !t.call.Repeatable || t.arrived+1 >= t.rule.Attempts {
-		return nil
-	}
-	now := t.d.deps.Now()
-	others := slices.ContainsFunc(t.d.deps.Board.Peers(t.call.Service), func(o *Peer) bool {
-		return o != p && !slices.Contains(t.avoided, o) && o.Available(now)
-	})
-	if !others {
-		return nil
-	}
-	service, deadline := t.call.Service, t.call.Deadline
-	return func() bool {
-		now := t.d.deps.Now()
-		return deadline.Sub(now) > 2*minRetryLeft && t.d.deps.Budget.Spend(service, now)
-	}
-}
-
 // hopeless reports whether a call that is late already meets a service that refuses calls in time.
 func (t *trip) hopeless() bool {
 	now := t.d.deps.Now()
@@ -95,7 +68,7 @@
 }
 
 func (t *trip) carry(ctx context.Context, p *Peer, c *hop.Call) hop.Outcome {
-	if c.Here = p.Distance == SameVM; c.Here {
+	if c.Here {
 		return t.d.deps.Local.Do(ctx, c)
 	}
 	return t.d.deps.Carrier.Carry(ctx, p.Address, c)
@@ -109,7 +82,7 @@
 		return nil
 	}
 	peers := t.d.deps.Board.Peers(t.call.Service)
-	need := choice{body: len(t.call.Body), answer: t.d.sizes.of(t.rule.Name)}
+	need := t.need()
 	if len(t.full) < maxLooks && t.queued == 0 {
 		need.tried = func(p *Peer) bool { return slices.Contains(t.avoided, p) || slices.Contains(t.full, p) }
 		if p := choose(peers, need, now, t.rng); p != nil && p.free(now, need) {
@@ -166,9 +139,7 @@
 			return true
 		}
 		t.unsure = o.Cause
-		if o.Cause == hop.Silent {
-			t.repeat()
-		} else if !t.mayRepeat(now) {
+		if !t.mayRepeat(now) {
 			return true
 		}
 		t.note(p, o.Cause)
@@ -176,6 +147,11 @@
 	return false
 }
 
+// need returns what the call needs from its target.
+func (t *trip) need() choice {
+	return choice{body: len(t.call.Body), answer: t.d.sizes.of(t.rule.Name)}
+}
+
 func (t *trip) avoid(p *Peer) { t.avoided = append(t.avoided, p) }
 
 // mayRepeat reports whether a call that has reached a target may be sent to another one.
--- a/hop/call.go
+++ b/hop/call.go
@@ -48,8 +48,8 @@
 	Repeat     bool // an earlier attempt may have reached a target
 	// Announced asks the target's node for its leave before the body is sent.
 	Announced bool
-	// GiveUp is asked when the node gives no sign for a while; only if it agrees is the attempt broken off. It may be nil.
-	GiveUp   func() bool
+	// Silent is called once when the node gives no sign for a while; it may be nil.
+	Silent   func()
 	Patience Patience
 	Here     bool      // the caller is on the target's VM
 	Aim      time.Time // an answer is of full use until then
--- a/hop/line.go
+++ b/hop/line.go
@@ -84,8 +84,11 @@
 	var granted atomic.Bool
 	silence := time.AfterFunc(silenceLimit, func() {
 		// An announced call whose body has not been asked for can't have run.
-		if c.Announced && !granted.Load() || c.GiveUp != nil && c.GiveUp() {
+		switch {
+		case c.Announced && !granted.Load():
 			cancel(errSilent)
+		case c.Silent != nil:
+			c.Silent()
 		}
 	})
 	defer silence.Stop()
