--- a/dispatch/choose.go
+++ b/dispatch/choose.go
@@ -56,8 +56,9 @@
 	return best
 }
 
-// leastWait returns the available peer whose queue promises the shortest time to an answer, or nil.
-func leastWait(peers []*Peer, c choice, now time.Time) *Peer {
+// leastWait returns the available peer whose queue promises the shortest time to an answer, or nil. Nodes with the same figures
+// would all choose the same queue until they hear of it.
+func leastWait(peers []*Peer, c choice, now time.Time, rng *rand.Rand) *Peer {
 	hold, fill := typical(peers, now)
 	var best *Peer
 	least := math.Inf(1)
@@ -65,7 +66,7 @@
 		if !p.Available(now) || c.tried(p) {
 			continue
 		}
-		if s := p.score(now, hold, fill, c); s < least {
+		if s := p.score(now, hold, fill, c) * (1 + scoreNoise*rng.Float64()); s < least {
 			best, least = p, s
 		}
 	}
--- a/dispatch/race.go
+++ b/dispatch/race.go
@@ -159,7 +159,7 @@
 	}
 	p, patience := choose(peers, need, now, t.rng), hop.Elsewhere
 	if p != nil && !p.free(now, need) {
-		p, patience = leastWait(peers, need, now), hop.Queue
+		p, patience = leastWait(peers, need, now, t.rng), hop.Queue
 	}
 	if p == nil || !t.d.deps.Budget.Spend(t.call.Service, now) {
 		return nil
--- a/dispatch/trip.go
+++ b/dispatch/trip.go
@@ -92,7 +92,7 @@
 	}
 	t.call.Patience = hop.Queue
 	need.tried = func(p *Peer) bool { return slices.Contains(t.avoided, p) }
-	return leastWait(peers, need, now)
+	return leastWait(peers, need, now, t.rng)
 }
 
 // settles judges an attempt's outcome and reports whether it ends the request.
--- a/dispatch/trip_test.go
+++ b/dispatch/trip_test.go
@@ -142,6 +142,26 @@
 			Expect(o).To(Equal(c.want))
 		})
 	}
+	It("are spread over queues of the same length", func() {
+		full := hop.Load{Limit: 9, Running: 9, Waiting: 9, Hold: 100 * time.Millisecond}
+		f := &carrier{outcomes: outcomes{func(*hop.Call) hop.Outcome {
+			return &hop.Answered{Status: 200, Header: http.Header{}, Load: full, Release: func() {}}
+		}}}
+		d := newDispatcher(f, 3, plenty)
+		for range 200 {
+			do(d, "/order/")
+		}
+		queued := map[lifecycle.ID]int{}
+		for _, c := range f.calls {
+			if c.Patience == hop.Queue {
+				queued[c.Instance]++
+			}
+		}
+		Expect(queued).To(HaveLen(3))
+		for _, n := range queued {
+			Expect(n).To(BeNumerically(">", 20))
+		}
+	})
 	It("are not begun beside a silent node where no other target is left", func() {
 		f := &carrier{outcomes: outcomes{silent, answered(500)}}
 		o := do(newDispatcher(f, 1, plenty), "/safe/")
