--- a/dispatch/returns_test.go
+++ b/dispatch/returns_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"net/http"
 	"time"
 
@@ -50,6 +51,20 @@
 			}
 		})
 	}
+	It("is not seen in callers that differ in their patience", func() {
+		f := &carrier{outcomes: []func(*hop.Call) hop.Outcome{answered(200)}}
+		d := newDispatcher(f, 1, 0)
+		now := time.Now()
+		for i := range 200 {
+			patience := left - time.Duration(i%20)*left/100 // a fifth less at most
+			if i%25 == 0 {
+				patience = 4 * left
+			}
+			came := now.Add(time.Duration(i) * 7 * time.Millisecond)
+			d.Do(context.Background(), &dispatch.Request{ID: "1", Method: "GET", URI: fmt.Sprintf("/safe/%d", i), Host: "h", Header: http.Header{}, Left: patience, Came: came})
+			Expect(f.calls[i].Aim.Sub(came)).To(Equal(600*time.Millisecond), "the first try of a caller that waits for %s", patience)
+		}
+	})
 	It("is taken for itself once only, and forgotten after its deadline", func() {
 		f := &carrier{outcomes: []func(*hop.Call) hop.Outcome{refused(hop.Closed), answered(200)}}
 		d := newDispatcher(f, 1, 0)
--- a/gate/queue_test.go
+++ b/gate/queue_test.go
@@ -93,6 +93,16 @@
 		Expect(ask(q, start, "in time", 2, at(600), at(2000)).decided).To(Equal(gate.Admitted{}))
 		Expect(ask(q, start, "nested", hop.RankNested, at(20), at(500)).decided).NotTo(BeAssignableToTypeOf(gate.Turned{}))
 	})
+	It("admits no call whose time ran out while the process stood still, though a slot is free at last", func() {
+		q := gate.NewQueue()
+		q.SetLimit(start, 1)
+		ask(q, start, "running", 1, at(600), at(2000))
+		w := ask(q, start, "waits", 1, at(600), at(2000))
+		Expect(w.decided).To(Equal(gate.Queued{}))
+		q.Done(at(5000), "", 0)
+		Expect(w.decided).To(Equal(gate.Turned{Cause: hop.Expired}))
+		Expect(q.Running()).To(BeZero())
+	})
 	It("serves late calls again once no call in time had to be refused for a while", func() {
 		q := gate.NewQueue()
 		q.SetLimit(start, 1)
