--- a/dispatch/budget.go
+++ b/dispatch/budget.go
@@ -28,7 +28,7 @@
 	mu     sync.Mutex
 	purses map[config.ServiceName]*purse
 	nodes  int // the most that have shared the bounds within a window; zero means unknown
-	fewer  int // nodes since fewerAt, when there were more before
+	fewer  int // how many there are since a time, when there were more before
 	since  time.Time
 	known  time.Time // when nodes was first known; a node that has just started has earned nothing yet
 }
--- a/dispatch/returns.go
+++ b/dispatch/returns.go
@@ -8,6 +8,7 @@
 const (
 	returnSlack  = 20 * time.Millisecond // by which a caller's deadline seems to move between two tries of a request
 	returnsSwept = time.Second           // between two looks at requests whose deadline has passed
+	mostReturns  = 8192                  // requests that are remembered; more are taken for first tries when they come back
 )
 
 // returns recognises the further tries of requests that were not served: a caller that comes back for the same thing keeps its
@@ -40,6 +41,9 @@
 		r.tries = map[requestKey][]firstTry{}
 	}
 	r.sweep(now)
+	if len(r.tries) >= mostReturns {
+		return
+	}
 	k := in.key()
 	r.tries[k] = append(r.tries[k], firstTry{first, in.Came.Add(in.Left)})
 }
--- a/dispatch/returns_test.go
+++ b/dispatch/returns_test.go
@@ -51,6 +51,21 @@
 			}
 		})
 	}
+	It("is remembered among so many only", func() {
+		f := &carrier{outcomes: []func(*hop.Call) hop.Outcome{refused(hop.Closed)}}
+		d := newDispatcher(f, 1, 0)
+		now := time.Now()
+		ask := func(i int, came time.Time, left time.Duration) time.Time {
+			d.Do(context.Background(), &dispatch.Request{ID: "1", Method: "GET", URI: fmt.Sprintf("/safe/%d", i), Host: "h", Header: http.Header{}, Left: left, Came: came})
+			return f.calls[len(f.calls)-1].Aim
+		}
+		const many = 10_000
+		for i := range many {
+			ask(i, now, time.Hour)
+		}
+		Expect(ask(0, now.Add(time.Second), time.Hour-time.Second)).To(Equal(now.Add(600 * time.Millisecond)))
+		Expect(ask(many-1, now.Add(time.Second), time.Hour-time.Second)).To(Equal(now.Add(1600 * time.Millisecond)))
+	})
 	It("is not seen in callers that differ in their patience", func() {
 		f := &carrier{outcomes: []func(*hop.Call) hop.Outcome{answered(200)}}
 		d := newDispatcher(f, 1, 0)
