exchange: the test of announced bodies waits for the sender's report

The peer answers as soon as it has read the body, and the exchange was released before the goroutine that sent the body had been scheduled to report it; the connection is closed then, as it is for a body that may not have left. No promise depends on it: it costs a new connection. The expectation stays (kept exactly if the body was sent); the test now releases after the report. Ruled out: the server in the test, which had read the body in both cases.

--- a/exchange/conn_test.go
+++ b/exchange/conn_test.go
@@ -230,6 +230,7 @@
 			body, _, err := a.ReadWhole(1 << 20)
 			Expect(err).NotTo(HaveOccurred())
 			Expect(string(body)).To(Equal(c.body))
+			time.Sleep(50 * time.Millisecond) // the peer may have answered before the sending of the body has returned
 			Expect(a.Release(time.Now()) != nil).To(Equal(c.got), "a peer that was not sent the body may take other bytes for it")
 		})
 	}
