--- a/gate/gate.go
+++ b/gate/gate.go
@@ -31,9 +31,8 @@
 	Log     *slog.Logger
 	Metrics *metrics.Set
 	Now     func() time.Time
-	Uplink  *Link // what the VM sends
-	// Downlink is what comes to the VM.
-	Downlink *Link
+	// Uplink is what the VM sends to others, Downlink what comes from them.
+	Uplink, Downlink *Link
 	// Changed is called when what the node publishes of its target has changed.
 	Changed func()
 }
