--- a/gate/call.go
+++ b/gate/call.go
@@ -252,6 +252,7 @@
 	if !c.Idempotent {
 		maxIdleTime = nonIdempotentMaxIdle
 	}
+	g.metrics.callSent(c.Retry)
 	resp, err := g.send(ctx, c, s, s.pool.Get(s.acquired, maxIdleTime))
 	if err != nil {
 		defer cancel()
@@ -259,6 +260,7 @@
 	}
 	v := g.deps.Dialect.Judge(resp.Response)
 	g.recordLoad(v.Load)
+	g.recordNotices(c, s, v)
 	body, more, err := resp.ReadBody(maxBuffered)
 	if err != nil {
 		defer cancel()
@@ -405,6 +407,37 @@
 	}
 }
 
+// limitLogRatio is the ratio between two rate limits from which the change is logged.
+const limitLogRatio = 1.5
+
+// differs reports whether a limit differs from an earlier one by more than limitLogRatio.
+func (l RateLimit) differs(from RateLimit) bool {
+	return l.Named != from.Named || l.PerSecond > from.PerSecond*limitLogRatio || l.PerSecond < from.PerSecond/limitLogRatio
+}
+
+// recordNotices records the rate limit and the leaving that a target announces in its answer.
+func (g *Gate) recordNotices(c *hop.Call, s *slot, v Verdict) {
+	if v.WrongTarget || !v.Genuine && !v.NotExecuted {
+		return
+	}
+	g.mu.Lock()
+	before, leaving := g.loggedLimit, v.Leaving && !g.leavingSeen
+	g.rateLimit, g.leavingSeen = v.RateLimit, g.leavingSeen || v.Leaving
+	changed := v.RateLimit.differs(before)
+	if changed {
+		g.loggedLimit = v.RateLimit
+	}
+	state := g.tracker.Target().State
+	g.mu.Unlock()
+	g.metrics.rateLimitNamed(v.RateLimit)
+	if changed {
+		g.deps.Log.Info("target changed its rate limit", "call", c.ID, "instance", s.target.ID, "limit", v.RateLimit.String(), "before", before.String())
+	}
+	if leaving {
+		g.deps.Log.Info("target announced its leaving in an answer", "call", c.ID, "instance", s.target.ID, "state", state)
+	}
+}
+
 func (g *Gate) currentLoad(c *hop.Call) hop.Load {
 	g.mu.Lock()
 	defer g.mu.Unlock()
--- a/gate/dialect.go
+++ b/gate/dialect.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/http"
+	"strconv"
 	"time"
 
 	"github.com/cassialead/cassialead/exchange"
@@ -28,6 +29,25 @@
 	Genuine         bool // the body is the target's own, unmodified
 	ConnectionClose bool // the target closes the connection
 	Load            TargetLoad
+	RateLimit       RateLimit
+	Leaving         bool // the target is about to stop
+}
+
+// CallRate is a number of calls per second.
+type CallRate float64
+
+// RateLimit is the limit on all calls to a target together, if the target names one.
+type RateLimit struct {
+	Named     bool
+	PerSecond CallRate
+}
+
+// String formats the limit for the log.
+func (l RateLimit) String() string {
+	if !l.Named {
+		return "none"
+	}
+	return strconv.FormatFloat(float64(l.PerSecond), 'f', 1, 64) + "/s"
 }
 
 // TargetLoad is the load that a target reports; zero Slots means that it reports none.
@@ -43,4 +63,7 @@
 	ID      lifecycle.ID
 	Healthy bool
 	Load    TargetLoad
+	// RateLimit and Leaving are as in a Verdict.
+	RateLimit RateLimit
+	Leaving   bool
 }
--- a/gate/gate.go
+++ b/gate/gate.go
@@ -56,6 +56,9 @@
 	failureRate   float64
 	failureRateAt time.Time
 	slowdown      float64
+	rateLimit     RateLimit                    // named by the target's latest answer
+	loggedLimit   RateLimit                    // value of rateLimit when it was last logged
+	leavingSeen   bool                         // the target's leaving has been logged
 	running       map[hop.CallID]execution     // calls that the target is executing
 	responseSizes map[config.RouteName]float64 // mean size of a route's responses in bytes
 	checking      bool                         // a health check is running
@@ -138,6 +141,7 @@
 		g.pool.Close()
 		g.pool = exchange.NewPool(maxIdleConns)
 		g.failureRate, g.slowdown = 0, 1
+		g.rateLimit, g.loggedLimit, g.leavingSeen = RateLimit{}, RateLimit{}, false
 		g.queue.RejectAll(hop.NotHere)
 	}
 	if t.State != lifecycle.Open {
@@ -176,7 +180,7 @@
 	go func() {
 		h, err := g.healthCheck(string(address), path)
 		g.metrics.checks.Inc()
-		g.deps.Log.Info("health check", "why", reason, "address", address, "instance", h.ID, "healthy", h.Healthy, "error", err)
+		g.deps.Log.Info("health check", "why", reason, "address", address, "instance", h.ID, "healthy", h.Healthy, "rate_limit", h.RateLimit.String(), "leaving", h.Leaving, "error", err)
 		g.transition("health check", func(t *lifecycle.Tracker) bool {
 			g.checking = false
 			return err == nil && t.HandleHealthCheck(h.ID, h.Healthy, h.Load.Slots, g.service, address)
--- a/gate/metrics.go
+++ b/gate/metrics.go
@@ -15,13 +15,42 @@
 	checks             *metrics.Counter
 	connections        *metrics.Counter
 	staleResponses     *metrics.Counter
+	sent               *metrics.Counter
+	retriesSent        *metrics.Counter
+	rateLimit          *metrics.Gauge // calls per second; -1 while the target names no limit
 }
 
 func newGateMetrics(set *metrics.Set) *gateMetrics {
 	return &gateMetrics{set: set, waitTime: set.GetOrCreateHistogram("cassialead_gate_wait_seconds"),
 		holdTime: set.GetOrCreateHistogram("cassialead_gate_hold_seconds"), checks: set.GetOrCreateCounter("cassialead_gate_health_checks_total"),
 		connections:    set.GetOrCreateCounter("cassialead_gate_connections_total"),
-		staleResponses: set.GetOrCreateCounter("cassialead_gate_crossed_answers_total")}
+		staleResponses: set.GetOrCreateCounter("cassialead_gate_crossed_answers_total"),
+		sent:           set.GetOrCreateCounter(`cassialead_gate_sent_total{retry="false"}`),
+		retriesSent:    set.GetOrCreateCounter(`cassialead_gate_sent_total{retry="true"}`),
+		rateLimit:      newRateLimitGauge(set)}
+}
+
+func newRateLimitGauge(set *metrics.Set) *metrics.Gauge {
+	g := set.GetOrCreateGauge("cassialead_gate_rate_limit", nil)
+	g.Set(-1)
+	return g
+}
+
+// rateLimitNamed sets the gauge of the target's rate limit.
+func (m *gateMetrics) rateLimitNamed(l RateLimit) {
+	if !l.Named {
+		l.PerSecond = -1
+	}
+	m.rateLimit.Set(float64(l.PerSecond))
+}
+
+// callSent counts a call that is sent to the target.
+func (m *gateMetrics) callSent(retry bool) {
+	if retry {
+		m.retriesSent.Inc()
+		return
+	}
+	m.sent.Inc()
 }
 
 // outcome counts a call by its outcome and cause.
