gate: admit calls at the rate that a target names

Cause: admission by slots alone; the limit reached the gate in each answer and nothing read it. All calls to a target pass its VM's gate, so one token bucket there holds the limit of all nodes together; no node has to agree with another. Its level and refill travel with the load in each outcome, nodes of callers count the wait and prefer targets with room. The queue counts it too: what can't be sent in time is refused at once. An answer to a call that was sent before the limit was last named doesn't lift it.

--- a/dispatch/choose.go
+++ b/dispatch/choose.go
@@ -103,7 +103,16 @@
 	if c.bodyBytes >= hop.BulkSize && p.Distance != SameVM && p.load.DownlinkBacklog > maxDownlinkBacklog {
 		return false
 	}
-	return p.load.Running+p.load.Waiting+p.inflight-p.counted < p.load.Limit
+	return p.load.Running+p.load.Waiting+p.inflight-p.counted < p.load.Limit && p.rateWait(now) == 0
+}
+
+// rateWait estimates how long a call sent now would wait for the target's rate limit; mu must be held.
+func (p *Peer) rateWait(now time.Time) time.Duration {
+	if p.load.RateLimit <= 0 {
+		return 0
+	}
+	own := time.Duration(float64(p.inflight-p.counted) / float64(p.load.RateLimit) * float64(time.Second))
+	return max(p.load.RateWait-now.Sub(p.loadAt)+own, 0)
 }
 
 // score estimates a call's cost at the peer in milliseconds. As the load figures age, its occupancy approaches
@@ -131,6 +140,7 @@
 		ms *= warmUpFactor
 	}
 	ms /= math.Pow(max(1-failing, 0.1), failureExponent)
+	ms += 1000 * p.rateWait(now).Seconds()
 	if c.answerBytes >= hop.BulkSize && p.Distance != SameVM {
 		ms += 1000 * p.load.UplinkBacklog.Seconds()
 	}
--- a/dispatch/delivery_test.go
+++ b/dispatch/delivery_test.go
@@ -162,6 +162,54 @@
 			Expect(n).To(BeNumerically(">", 20))
 		}
 	})
+	It("go to targets with room while others wait for their rate limit, and come back when the limit leaves room", func() {
+		const limit, wait = 5, 400 * time.Millisecond
+		limited := load
+		limited.RateLimit, limited.RateWait = limit, wait
+		f := &fakeNodes{outcomes: outcomes{func(c *hop.Call) hop.Outcome {
+			l := limited
+			if c.Instance == "i-c" {
+				l = load
+			}
+			return &hop.Answered{Status: 200, Header: http.Header{}, Load: l, Release: func() {}}
+		}}}
+		d := newDispatcher(f, 3, ampleBudget)
+		for range 50 {
+			get(d, "/order/")
+		}
+		toLimited := func() (n int) {
+			for _, c := range f.calls {
+				if c.Instance != "i-c" {
+					n++
+				}
+			}
+			return n
+		}
+		Expect(toLimited()).To(BeNumerically("<=", 2), "each limited target reports its limit with its first answer")
+		time.Sleep(wait)
+		f.calls = nil
+		for range 50 {
+			get(d, "/order/")
+		}
+		Expect(toLimited()).To(BeNumerically(">", 0))
+	})
+	It("wait where the rate limit leaves room first if all targets are limited", func() {
+		f := &fakeNodes{outcomes: outcomes{func(c *hop.Call) hop.Outcome {
+			l := load
+			l.RateLimit, l.RateWait = 5, time.Second
+			if c.Instance == "i-b" {
+				l.RateWait = 300 * time.Millisecond
+			}
+			return &hop.Answered{Status: 200, Header: http.Header{}, Load: l, Release: func() {}}
+		}}}
+		d := newDispatcher(f, 3, ampleBudget)
+		for range 20 {
+			get(d, "/order/")
+		}
+		last := f.calls[len(f.calls)-1]
+		Expect(last.Instance).To(BeEquivalentTo("i-b"))
+		Expect(last.QueuePolicy).To(Equal(hop.AllowQueueing))
+	})
 	It("include no hedge if there is no other target", func() {
 		f := &fakeNodes{outcomes: outcomes{unacknowledged, answered(500)}}
 		o := get(newDispatcher(f, 1, ampleBudget), "/safe/")
--- a/gate/call.go
+++ b/gate/call.go
@@ -47,7 +47,7 @@
 		return
 	}
 	g.deps.Log.Info("call refused at the gate", "call", c.ID, "cause", o.Cause, "service", c.Service, "instance", c.Instance, "rank", c.Rank,
-		"running", o.Load.Running, "waiting", o.Load.Waiting, "limit", o.Load.Limit, "inbound", o.Load.DownlinkBacklog, "expected_wait", o.RetryAfter)
+		"running", o.Load.Running, "waiting", o.Load.Waiting, "limit", o.Load.Limit, "rate_limit", o.Load.RateLimit, "inbound", o.Load.DownlinkBacklog, "expected_wait", o.RetryAfter)
 }
 
 func (g *Gate) do(ctx context.Context, c *hop.Call) hop.Outcome {
@@ -144,7 +144,7 @@
 	}
 	d := g.queue.Offer(now, t)
 	if _, ok := d.(Queued); ok {
-		g.scheduleExpiry()
+		g.scheduleRefresh()
 	}
 	g.mu.Unlock()
 	if _, ok := d.(Queued); ok {
@@ -166,7 +166,7 @@
 	case Admitted:
 		s := &slot{g: g, call: c.ID, route: c.Route, acquired: g.deps.Now(), waited: d.Waited, target: g.tracker.Target(), pool: g.pool}
 		if refused := g.rejectAdmitted(c, s); refused != nil {
-			g.queue.Release(s.acquired, c.Route, 0)
+			g.queue.ReleaseUnsent(s.acquired)
 			return nil, refused
 		}
 		e := g.running[c.ID]
@@ -407,31 +407,39 @@
 	}
 }
 
-// limitLogRatio is the ratio between two rate limits from which the change is logged.
-const limitLogRatio = 1.5
-
-// differs reports whether a limit differs from an earlier one by more than limitLogRatio.
-func (l RateLimit) differs(from RateLimit) bool {
-	return l.Named != from.Named || l.PerSecond > from.PerSecond*limitLogRatio || l.PerSecond < from.PerSecond/limitLogRatio
-}
-
-// recordNotices records the rate limit and the leaving that a target announces in its answer.
+// recordNotices applies the rate limit and the leaving that a target announces in its answer.
 func (g *Gate) recordNotices(c *hop.Call, s *slot, v Verdict) {
 	if v.WrongTarget || !v.Genuine && !v.NotExecuted {
 		return
 	}
+	now := g.deps.Now()
 	g.mu.Lock()
-	before, leaving := g.loggedLimit, v.Leaving && !g.leavingSeen
-	g.rateLimit, g.leavingSeen = v.RateLimit, g.leavingSeen || v.Leaving
-	changed := v.RateLimit.differs(before)
+	if t := g.tracker.Target(); !t.SameStart(s.target.ID, s.target.StartTime) {
+		g.mu.Unlock()
+		return
+	}
+	g.answered = true
+	switch {
+	case v.RateLimit.Named:
+		g.limitNamedAt = now
+		g.queue.SetRateLimit(now, v.RateLimit)
+	case !s.acquired.Before(g.limitNamedAt):
+		// An answer to an earlier call may be older than the one that named the limit.
+		g.queue.SetRateLimit(now, RateLimit{})
+	}
+	g.updateSlots(now)
+	limit, before := g.queue.RateLimit(), g.loggedLimit
+	changed := limit.differs(before)
 	if changed {
-		g.loggedLimit = v.RateLimit
+		g.loggedLimit = limit
 	}
+	leaving := v.Leaving && !g.leavingSeen
+	g.leavingSeen = g.leavingSeen || v.Leaving
 	state := g.tracker.Target().State
 	g.mu.Unlock()
-	g.metrics.rateLimitNamed(v.RateLimit)
+	g.metrics.rateLimitNamed(limit)
 	if changed {
-		g.deps.Log.Info("target changed its rate limit", "call", c.ID, "instance", s.target.ID, "limit", v.RateLimit.String(), "before", before.String())
+		g.deps.Log.Info("target changed its rate limit", "call", c.ID, "instance", s.target.ID, "limit", limit.String(), "before", before.String())
 	}
 	if leaving {
 		g.deps.Log.Info("target announced its leaving in an answer", "call", c.ID, "instance", s.target.ID, "state", state)
--- a/gate/dialect.go
+++ b/gate/dialect.go
@@ -2,7 +2,6 @@
 
 import (
 	"net/http"
-	"strconv"
 	"time"
 
 	"github.com/cassialead/cassialead/exchange"
@@ -33,23 +32,6 @@
 	Leaving         bool // the target is about to stop
 }
 
-// CallRate is a number of calls per second.
-type CallRate float64
-
-// RateLimit is the limit on all calls to a target together, if the target names one.
-type RateLimit struct {
-	Named     bool
-	PerSecond CallRate
-}
-
-// String formats the limit for the log.
-func (l RateLimit) String() string {
-	if !l.Named {
-		return "none"
-	}
-	return strconv.FormatFloat(float64(l.PerSecond), 'f', 1, 64) + "/s"
-}
-
 // TargetLoad is the load that a target reports; zero Slots means that it reports none.
 type TargetLoad struct {
 	Running  int
--- a/gate/gate.go
+++ b/gate/gate.go
@@ -18,7 +18,6 @@
 
 const (
 	maxIdleConns       = 32                     // idle connections to the target in the pool; targets usually have fewer slots
-	expireInterval     = 20 * time.Millisecond  // between checks for queued calls that can no longer be answered in time
 	failureWeight      = 0.08                   // weight of one call in the moving average of the failure rate
 	failureHalfLife    = 2 * time.Second        // in which the failure rate of a target without calls halves
 	connectTimeout     = 400 * time.Millisecond // on the same VM; an unresponsive target accepts no connection
@@ -56,13 +55,14 @@
 	failureRate   float64
 	failureRateAt time.Time
 	slowdown      float64
-	rateLimit     RateLimit                    // named by the target's latest answer
-	loggedLimit   RateLimit                    // value of rateLimit when it was last logged
+	answered      bool                         // the target has answered a call, so its rate limit is known
+	limitNamedAt  time.Time                    // when an answer last named a rate limit
+	loggedLimit   RateLimit                    // rate limit when it was last logged
 	leavingSeen   bool                         // the target's leaving has been logged
 	running       map[hop.CallID]execution     // calls that the target is executing
 	responseSizes map[config.RouteName]float64 // mean size of a route's responses in bytes
 	checking      bool                         // a health check is running
-	expiring      bool                         // a timer for scheduleExpiry is set
+	refreshing    bool                         // a timer for scheduleRefresh is set
 }
 
 // New returns a gate for a target of the given service and address, both from the settings.
@@ -141,14 +141,24 @@
 		g.pool.Close()
 		g.pool = exchange.NewPool(maxIdleConns)
 		g.failureRate, g.slowdown = 0, 1
-		g.rateLimit, g.loggedLimit, g.leavingSeen = RateLimit{}, RateLimit{}, false
+		g.answered, g.limitNamedAt, g.loggedLimit, g.leavingSeen = false, time.Time{}, RateLimit{}, false
+		g.queue.SetRateLimit(now, RateLimit{})
 		g.queue.RejectAll(hop.NotHere)
 	}
 	if t.State != lifecycle.Open {
 		g.queue.RejectAll(hop.Closed)
 	}
-	if t.Slots != g.queue.Limit() {
-		g.queue.SetLimit(now, t.Slots)
+	g.updateSlots(now)
+}
+
+// updateSlots sets the number of slots in use; it is called with mu held.
+func (g *Gate) updateSlots(now time.Time) {
+	slots := g.tracker.Target().Slots
+	if !g.answered {
+		slots = min(slots, unansweredSlots)
+	}
+	if slots != g.queue.Limit() {
+		g.queue.SetLimit(now, slots)
 	}
 }
 
@@ -183,6 +193,9 @@
 		g.deps.Log.Info("health check", "why", reason, "address", address, "instance", h.ID, "healthy", h.Healthy, "rate_limit", h.RateLimit.String(), "leaving", h.Leaving, "error", err)
 		g.transition("health check", func(t *lifecycle.Tracker) bool {
 			g.checking = false
+			if h.RateLimit.Named && t.Target().ID == h.ID {
+				g.queue.SetRateLimit(g.deps.Now(), h.RateLimit)
+			}
 			return err == nil && t.HandleHealthCheck(h.ID, h.Healthy, h.Load.Slots, g.service, address)
 		})
 	}()
@@ -223,6 +236,9 @@
 	l := hop.Load{Running: g.queue.Running(), Waiting: g.queue.Waiting(), Limit: g.queue.Limit(),
 		ServiceTime: time.Duration(float64(g.queue.ServiceTime()) * g.slowdown), ExpectedWait: g.queue.ExpectedWait(now, newTicket(c)), Cold: now.Before(t.WarmAt), Overloaded: g.queue.Overloaded(now), UplinkBacklog: g.deps.Uplink.Backlog(),
 		DownlinkBacklog: g.deps.Downlink.Backlog()}
+	if limit := g.queue.RateLimit(); limit.Named {
+		l.RateLimit, l.RateWait = max(limit.PerSecond, minRate), g.queue.RateWait(now)
+	}
 	l.FailurePercent = int(100 * g.decayedFailureRate(now))
 	return l
 }
@@ -243,22 +259,22 @@
 	g.failureRateAt = now
 }
 
-// scheduleExpiry periodically calls Queue.Expire while any calls are queued; it is called with mu held.
-func (g *Gate) scheduleExpiry() {
-	if g.expiring {
+// scheduleRefresh periodically calls Queue.Refresh while any calls are queued; it is called with mu held.
+func (g *Gate) scheduleRefresh() {
+	if g.refreshing {
 		return
 	}
-	g.expiring = true
+	g.refreshing = true
 	var tick func()
 	tick = func() {
 		g.mu.Lock()
 		defer g.mu.Unlock()
-		g.queue.Expire(g.deps.Now())
+		next := g.queue.Refresh(g.deps.Now())
 		if g.queue.Waiting() == 0 {
-			g.expiring = false
+			g.refreshing = false
 			return
 		}
-		time.AfterFunc(expireInterval, tick)
+		time.AfterFunc(next, tick)
 	}
 	time.AfterFunc(expireInterval, tick)
 }
--- a/gate/queue.go
+++ b/gate/queue.go
@@ -8,6 +8,7 @@
 )
 
 const (
+	expireInterval     = 20 * time.Millisecond  // between checks for queued calls that can no longer be answered in time
 	maxWaitingPerSlot  = 12                     // queued calls per slot; more could not be served within any deadline
 	serviceTimeWeight  = 0.1                    // weight of one call in the moving average of the service time
 	initialServiceTime = 100 * time.Millisecond // assumed mean service time before the first call has ended
@@ -47,13 +48,14 @@
 func (Queued) decision()   {}
 func (Rejected) decision() {}
 
-// Queue is the admission queue for a target's slots. Calls are ordered by rank; within a rank, calls that can still meet their
+// Queue is the admission queue for a target's slots and its rate limit. Calls are ordered by rank; within a rank, calls that can still meet their
 // soft deadline come before late ones, and each group is ordered by earliest soft deadline. A late call is worth less than one
 // on time, so it waits only briefly for an idle slot and is refused otherwise. It is not safe for concurrent use.
 type Queue struct {
 	limit             int
 	running           int
 	waiting           []*Ticket
+	rate              tokenBucket
 	serviceTime       time.Duration
 	overloadedAt      time.Time // when a call that could have been on time was last refused for lack of slots
 	routeServiceTimes map[config.RouteName]time.Duration
@@ -70,6 +72,19 @@
 	q.admitWaiting(now)
 }
 
+// SetRateLimit sets the limit that the target names and admits the queued calls that fit.
+func (q *Queue) SetRateLimit(now time.Time, l RateLimit) {
+	q.rate.setLimit(now, l)
+	q.admitWaiting(now)
+}
+
+// RateLimit returns the limit that the target names.
+func (q *Queue) RateLimit() RateLimit { return q.rate.limit }
+
+// RateWait returns the time until the rate limit admits one more call behind the queued ones; it is negative if it admits
+// several.
+func (q *Queue) RateWait(now time.Time) time.Duration { return q.rate.wait(now, len(q.waiting)+1) }
+
 // Limit returns the number of slots.
 func (q *Queue) Limit() int { return q.limit }
 
@@ -89,7 +104,8 @@
 	if late && q.Overloaded(now) {
 		return Rejected{hop.TooLate, q.expectedWait(now, t)}
 	}
-	if q.running < q.limit && len(q.waiting) == 0 {
+	if q.running < q.limit && len(q.waiting) == 0 && q.rate.available(now) {
+		q.rate.take(now)
 		q.running++
 		return Admitted{}
 	}
@@ -115,9 +131,6 @@
 
 // ExpectedWait returns the expected queueing time of a ticket.
 func (q *Queue) ExpectedWait(now time.Time, t *Ticket) time.Duration {
-	if q.running < q.limit {
-		return 0
-	}
 	t.arrived = now
 	return q.expectedWait(now, t)
 }
@@ -129,7 +142,11 @@
 			ahead++
 		}
 	}
-	return time.Duration(float64(q.serviceTime) * float64(ahead) / float64(max(q.limit, 1)))
+	wait := max(q.rate.wait(now, ahead), 0)
+	if q.running+ahead > q.limit {
+		wait = max(wait, time.Duration(float64(q.serviceTime)*float64(ahead)/float64(max(q.limit, 1))))
+	}
+	return wait
 }
 
 func (q *Queue) routeServiceTime(r config.RouteName) time.Duration {
@@ -173,6 +190,12 @@
 	q.admitWaiting(now)
 }
 
+// ReleaseUnsent returns the slot of an admitted call that was not sent to the target.
+func (q *Queue) ReleaseUnsent(now time.Time) {
+	q.rate.refund()
+	q.Release(now, "", 0)
+}
+
 // Cancel removes a queued ticket; it reports false for one that has already been decided.
 func (q *Queue) Cancel(t *Ticket) bool {
 	for i, other := range q.waiting {
@@ -194,9 +217,20 @@
 
 func (q *Queue) remove(i int) { q.waiting = append(q.waiting[:i], q.waiting[i+1:]...) }
 
-// admitWaiting admits queued calls while slots are free and rejects those whose deadline has passed.
+// Refresh rejects queued calls that have waited too long and admits those for which the rate limit has left room meanwhile. It
+// returns the time until it should be called again if calls are still queued.
+func (q *Queue) Refresh(now time.Time) time.Duration {
+	q.Expire(now)
+	q.admitWaiting(now)
+	if wait := q.rate.wait(now, 1); q.running < q.limit && wait > 0 {
+		return min(wait, expireInterval)
+	}
+	return expireInterval
+}
+
+// admitWaiting admits queued calls while slots are free and the rate limit allows, and rejects those whose deadline has passed.
 func (q *Queue) admitWaiting(now time.Time) {
-	for q.running < q.limit && len(q.waiting) > 0 {
+	for q.running < q.limit && len(q.waiting) > 0 && q.rate.available(now) {
 		best := 0
 		for i := 1; i < len(q.waiting); i++ {
 			if q.before(now, q.waiting[i], q.waiting[best]) {
@@ -209,6 +243,7 @@
 			t.OnDecision(Rejected{Cause: hop.Expired})
 			continue
 		}
+		q.rate.take(now)
 		q.running++
 		t.OnDecision(Admitted{now.Sub(t.arrived)})
 	}
--- a/gate/ratelimit_test.go
+++ b/gate/ratelimit_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"io"
 	"log/slog"
+	"math/rand/v2"
 	"net/http"
 	"net/http/httptest"
 	"sync"
@@ -13,6 +14,7 @@
 	"github.com/VictoriaMetrics/metrics"
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
+	"pgregory.net/rapid"
 
 	"github.com/cassialead/cassialead/fleet"
 	"github.com/cassialead/cassialead/gate"
@@ -111,7 +113,7 @@
 		QueuePolicy: policy, SoftDeadline: now.Add(timeout / 2), Deadline: now.Add(timeout)}
 }
 
-var _ = Describe("a target that names a rate limit", Label("known-red"), func() {
+var _ = Describe("a target that names a rate limit", func() {
 	It("gets no more calls than the limit allows while nodes offer many times as many", func() {
 		const perSecond, interval = 5, 20 * time.Millisecond
 		t := newAnnouncingTarget()
@@ -128,4 +130,131 @@
 		Expect(t.busiest(told, limitWindow)).To(BeNumerically("<=", int(limitFactor*perSecond*limitWindow.Seconds())+limitSlack))
 		Expect(t.calls()).To(BeNumerically(">=", perSecond*int(limitWindow.Seconds())), "the calls that the limit allows are sent")
 	})
+	It("gets few calls from a node that has restarted until its first answer", func() {
+		const slots, policy = 9, hop.FailFast
+		t := newAnnouncingTarget()
+		t.announce(platform.RateLimitHeader, "0.5")
+		g := newGateFor(t)
+		var wg sync.WaitGroup
+		for i := range 2 * slots {
+			wg.Go(func() { g.Do(context.Background(), callTo(fmt.Sprint(i), policy, time.Second)) })
+		}
+		wg.Wait()
+		g.Do(context.Background(), callTo("later", policy, time.Second))
+		Expect(t.calls()).To(BeNumerically("<=", limitSlack))
+	})
+	It("is called without a limit again once an answer to a later call names none", func() {
+		t := newAnnouncingTarget()
+		t.announce(platform.RateLimitHeader, "4")
+		g := newGateFor(t)
+		do := func(id string) hop.Outcome {
+			return g.Do(context.Background(), callTo(id, hop.AllowQueueing, 2*time.Second))
+		}
+		do("first")
+		t.announce(platform.RateLimitHeader, "")
+		do("second")
+		for i := range 10 {
+			Expect(g.Do(context.Background(), callTo(fmt.Sprint(i), hop.FailFast, time.Second))).To(BeAssignableToTypeOf(&hop.Answered{}))
+		}
+	})
+})
+
+var _ = Describe("a queue with a rate limit", func() {
+	It("keeps the arrivals of any window within the limits named while they rise, fall and end", func() {
+		rapid.Check(GinkgoT(), func(t *rapid.T) {
+			const slots, serviceTime, step = 9, 60 * time.Millisecond, 10 * time.Millisecond
+			q := gate.NewQueue()
+			q.SetLimit(start, slots)
+			offered := rapid.Float64Range(0.5, 6).Draw(t, "calls per step")
+			steps := rapid.IntRange(500, 1500).Draw(t, "steps")
+			rng := rand.New(rand.NewPCG(rapid.Uint64().Draw(t, "seed"), 0))
+			limit := hop.CallRate(rapid.Float64Range(0, 40).Draw(t, "limit"))
+			volatility := rapid.Float64Range(0, 0.02).Draw(t, "share of steps in which the limit changes")
+			q.SetRateLimit(start, gate.RateLimit{Named: true, PerSecond: limit})
+			var arrivals []int
+			var limits []hop.CallRate
+			var running []time.Time // when the running calls end
+			for i := range steps {
+				now := start.Add(time.Duration(i) * step)
+				arrived := 0
+				for len(running) > 0 && !running[0].After(now) {
+					running = running[1:]
+					q.Release(now, "", serviceTime)
+				}
+				if rng.Float64() < volatility {
+					limit = hop.CallRate(rng.Float64() * 40)
+					q.SetRateLimit(now, gate.RateLimit{Named: true, PerSecond: limit})
+				}
+				admitted := func(d gate.Decision) {
+					if _, ok := d.(gate.Admitted); ok {
+						arrived++
+						running = append(running, now.Add(serviceTime))
+					}
+				}
+				q.Refresh(now)
+				for n := offered; rng.Float64() < n; n-- {
+					admitted(q.Offer(now, &gate.Ticket{SoftDeadline: now.Add(time.Second), Deadline: now.Add(2 * time.Second), QueuePolicy: hop.QueuePolicy(rng.IntN(2)), OnDecision: admitted}))
+				}
+				arrivals, limits = append(arrivals, arrived), append(limits, limit)
+			}
+			window := int(limitWindow / step)
+			for from := range arrivals {
+				calls, allowed := 0, float64(limitSlack)
+				for i := from; i < min(from+window, steps); i++ {
+					calls += arrivals[i]
+					allowed += limitFactor * float64(limits[i]) * step.Seconds()
+				}
+				if from+window <= steps && float64(calls) > allowed {
+					t.Fatalf("%d calls in the window from step %d, %.0f allowed", calls, from, allowed)
+				}
+			}
+		})
+	})
+	It("sends the calls that the limit allows, whatever is offered", func() {
+		const perSecond, seconds = 7, 20
+		q := gate.NewQueue()
+		q.SetLimit(start, 9)
+		q.SetRateLimit(start, gate.RateLimit{Named: true, PerSecond: perSecond})
+		sent := 0
+		for ms := 0; ms < seconds*1000; ms += 20 {
+			q.Refresh(at(ms))
+			count := func(d gate.Decision) {
+				if _, ok := d.(gate.Admitted); ok {
+					sent++
+					q.Release(at(ms), "", 0)
+				}
+			}
+			count(q.Offer(at(ms), &gate.Ticket{SoftDeadline: at(ms + 600), Deadline: at(ms + 2000), QueuePolicy: hop.AllowQueueing, OnDecision: count}))
+		}
+		Expect(sent).To(BeNumerically("~", perSecond*seconds, 3))
+	})
+	It("refuses at once what the limit can't admit in time, and says when it can", func() {
+		q := gate.NewQueue()
+		q.SetLimit(start, 9)
+		q.SetRateLimit(start, gate.RateLimit{Named: true, PerSecond: 2})
+		offer := func(ms int, policy hop.QueuePolicy) gate.Decision {
+			return q.Offer(at(ms), &gate.Ticket{SoftDeadline: at(1200), Deadline: at(5000), QueuePolicy: policy})
+		}
+		Expect(offer(0, hop.FailFast)).To(Equal(gate.Rejected{Cause: hop.Busy, Wait: 500 * time.Millisecond}))
+		Expect(offer(0, hop.AllowQueueing)).To(Equal(gate.Queued{}))
+		Expect(offer(1, hop.AllowQueueing)).To(Equal(gate.Queued{}))
+		Expect(offer(2, hop.AllowQueueing)).To(Equal(gate.Rejected{Cause: hop.TooLate, Wait: 1498 * time.Millisecond}))
+	})
+	It("admits queued calls at once when the limit is lifted", func() {
+		q := gate.NewQueue()
+		q.SetLimit(start, 9)
+		q.SetRateLimit(start, gate.RateLimit{Named: true, PerSecond: 2})
+		w := offerTicket(q, start, "waits", 1, at(1200), at(5000))
+		Expect(w.decision).To(Equal(gate.Queued{}))
+		q.SetRateLimit(at(10), gate.RateLimit{})
+		Expect(w.decision).To(BeAssignableToTypeOf(gate.Admitted{}))
+	})
+	It("does not count a call that was admitted and not sent", func() {
+		q := gate.NewQueue()
+		q.SetLimit(start, 9)
+		q.SetRateLimit(start, gate.RateLimit{Named: true, PerSecond: 2})
+		Expect(offerTicket(q, at(500), "first", 1, at(1200), at(5000)).decision).To(Equal(gate.Admitted{}))
+		q.ReleaseUnsent(at(500))
+		Expect(offerTicket(q, at(500), "second", 1, at(1200), at(5000)).decision).To(Equal(gate.Admitted{}))
+	})
 })
--- a/hop/call.go
+++ b/hop/call.go
@@ -57,6 +57,9 @@
 	Deadline     time.Time
 }
 
+// CallRate is a number of calls per second.
+type CallRate float64
+
 // Load is the load of a target as measured by its gate, which adds it to every outcome.
 type Load struct {
 	Running         int
@@ -69,6 +72,8 @@
 	UplinkBacklog   time.Duration // backlog of the VM's outgoing link, which delays long answers
 	DownlinkBacklog time.Duration // backlog of accepted bodies on the VM's incoming link
 	Overloaded      bool          // calls that could have met their soft deadline are being refused
+	RateLimit       CallRate      // calls that the target accepts from all nodes together; zero means no limit
+	RateWait        time.Duration // until the limit admits one more call behind the queued ones; negative if it admits several
 }
 
 // Cause is the reason for which a call was refused or failed.
--- a/hop/header.go
+++ b/hop/header.go
@@ -51,6 +51,8 @@
 	UplinkBacklogUs   int64
 	DownlinkBacklogUs int64
 	TargetStatus      int
+	RateLimit         float64
+	RateWaitUs        int64
 }
 
 const (
@@ -117,6 +119,7 @@
 	w.Running, w.Waiting, w.Limit, w.ServiceTimeUs, w.ExpectedWaitUs = l.Running, l.Waiting, l.Limit, l.ServiceTime.Microseconds(), l.ExpectedWait.Microseconds()
 	w.UplinkBacklogUs, w.DownlinkBacklogUs = l.UplinkBacklog.Microseconds(), l.DownlinkBacklog.Microseconds()
 	w.FailurePercent, w.Cold, w.Overloaded, w.TargetStatus = l.FailurePercent, l.Cold, l.Overloaded, status
+	w.RateLimit, w.RateWaitUs = float64(l.RateLimit), l.RateWait.Microseconds()
 	h[outcomeHeader] = []string{encode(w)}
 	return status
 }
@@ -134,7 +137,8 @@
 	}
 	l := Load{Running: w.Running, Waiting: w.Waiting, Limit: w.Limit, ServiceTime: time.Duration(w.ServiceTimeUs) * time.Microsecond,
 		ExpectedWait: time.Duration(w.ExpectedWaitUs) * time.Microsecond, FailurePercent: w.FailurePercent, Cold: w.Cold, Overloaded: w.Overloaded,
-		UplinkBacklog: time.Duration(w.UplinkBacklogUs) * time.Microsecond, DownlinkBacklog: time.Duration(w.DownlinkBacklogUs) * time.Microsecond}
+		UplinkBacklog: time.Duration(w.UplinkBacklogUs) * time.Microsecond, DownlinkBacklog: time.Duration(w.DownlinkBacklogUs) * time.Microsecond,
+		RateLimit: CallRate(w.RateLimit), RateWait: time.Duration(w.RateWaitUs) * time.Microsecond}
 	switch w.Kind {
 	case kindAnswered:
 		return &Answered{Status: resp.StatusCode, Header: resp.Header, Length: resp.ContentLength, Load: l}, CallID(w.ID), nil
