dispatch: targets whose rate limit leaves no room come after free slots

Now targets whose rate limit leaves no room are left out of the search for a free slot and only chosen for a queue.

--- a/dispatch/choose.go
+++ b/dispatch/choose.go
@@ -35,13 +35,15 @@
 func (c criteria) kilobytes() float64 { return float64(c.bodyBytes+c.answerBytes) / 1024 }
 
 // cheapest returns the available peer with the lowest score, or nil. Some calls probe a peer with stale load figures instead.
+// Peers whose rate limit leaves no room are left out: many nodes wait for the same few calls, so a place in their queue is worth
+// less than a free slot elsewhere.
 func cheapest(peers []*Peer, c criteria, now time.Time, rng *rand.Rand) *Peer {
 	serviceTime, utilization := meanLoad(peers, now)
 	probe := rng.Float64() < explorationRate
 	var best *Peer
 	lowest := math.Inf(1)
 	for _, p := range peers {
-		if c.excluded(p) || !p.Available(now) {
+		if c.excluded(p) || !p.Available(now) || p.waitsForRateLimit(now) {
 			continue
 		}
 		s := p.score(now, serviceTime, utilization, c)
@@ -103,7 +105,14 @@
 	if c.bodyBytes >= hop.BulkSize && p.Distance != SameVM && p.load.DownlinkBacklog > maxDownlinkBacklog {
 		return false
 	}
-	return p.load.Running+p.load.Waiting+p.inflight-p.counted < p.load.Limit && p.rateWait(now) == 0
+	return p.load.Running+p.load.Waiting+p.inflight-p.counted < p.load.Limit
+}
+
+// waitsForRateLimit reports whether a call sent now would probably have to wait for the target's rate limit.
+func (p *Peer) waitsForRateLimit(now time.Time) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.rateWait(now) > 0
 }
 
 // rateWait estimates how long a call sent now would wait for the target's rate limit; mu must be held.
--- a/dispatch/hedge.go
+++ b/dispatch/hedge.go
@@ -159,7 +159,7 @@
 		return p == first.peer || slices.Contains(d.excluded, p) || slices.Contains(d.busy, p)
 	}
 	p, policy := cheapest(peers, need, now, d.rng), hop.FailFast
-	if p != nil && !p.hasFreeSlot(now, need) {
+	if p == nil || !p.hasFreeSlot(now, need) {
 		p, policy = cheapestQueue(peers, need, now, d.rng), hop.AllowQueueing
 	}
 	if p == nil || !d.dispatcher.deps.Budget.TryWithdraw(d.call.Service, now) {
