gate, dispatch: a target that announces its leaving in an answer gets no further call

What callers and owners of targets would see: a target that leaves goes on getting calls from a node that has passed on the announcement, until its heartbeat says so; after a restart of the node beside it without the store, it gets them again, and callers lose calls when it ends.

Cause: departures were learnt from heartbeats and deregistrations only, and lasted only at the node beside the target. Now the gate closes at the first answer with the announcement and publishes it as any departure; each outcome says so to the caller's node, which removes the target until a later start of it, whatever records arrive. One type holds departures for both (lifecycle.Departures).

Evidence: three specs (gate: gets no further call, although its heartbeats go on; dispatch: go to no target that announced its leaving; agent: receives no call from a node that passed on its leaving, although its own node restarts without the store) fail with the two decisions switched off, and pass.

--- a/agent/agent_test.go
+++ b/agent/agent_test.go
@@ -218,6 +218,31 @@
 		}
 		Expect(n.target.runs.Load()).To(Equal(runs))
 	})
+	It("receives no call from a node that passed on its leaving, although its own node restarts without the store", func() {
+		s := newCluster("stock", "orders", "stock")
+		n := s.nodes[0]
+		n.target.fault.Store(func(w http.ResponseWriter, _ *http.Request) bool {
+			w.Header().Set("Server-Leaving", "1")
+			return false
+		})
+		s.store.SetFaults(standin.Faults{Status: 503})
+		for range 40 {
+			s.nodes[1].call(http.MethodGet, "/stock/1", "")
+		}
+		runs := n.target.runs.Load()
+		Expect(runs).To(BeNumerically(">", 0), "the node has passed on an answer with the announcement")
+		n.stop()
+		<-n.done
+		s.start(n)
+		for range 4 {
+			n.heartbeat("ready")
+			time.Sleep(200 * time.Millisecond)
+		}
+		for range 40 {
+			s.nodes[1].call(http.MethodGet, "/stock/1", "")
+		}
+		Expect(n.target.runs.Load()).To(Equal(runs))
+	})
 	It("is accepted by its heartbeat even if its node has just started", func() {
 		s := newCluster("stock", "orders")
 		n := s.nodes[0]
--- a/dispatch/delivery_test.go
+++ b/dispatch/delivery_test.go
@@ -75,6 +75,12 @@
 }
 
 func newDispatcher(f *fakeNodes, targets int, slack float64) *dispatch.Dispatcher {
+	d, _, _ := newDispatcherWithTable(f, targets, slack)
+	return d
+}
+
+// newDispatcherWithTable returns a dispatcher with its peers and the members that they come from.
+func newDispatcherWithTable(f *fakeNodes, targets int, slack float64) (*dispatch.Dispatcher, *dispatch.PeerTable, []member.Member) {
 	table := dispatch.NewPeerTable(dispatch.Location{Node: "self", DataCentre: "dc", Region: "region"})
 	var members []member.Member
 	for i := range targets {
@@ -95,7 +101,7 @@
 		[]*config.Rule{rule("safe", "/safe/", config.Idempotent), rule("order", "/order/", config.AtMostOnce)}, config.CallerLimits{})
 	Expect(err).NotTo(HaveOccurred())
 	d.SetPlan(p)
-	return d
+	return d, table, members
 }
 
 func get(d *dispatch.Dispatcher, path string) hop.Outcome {
@@ -210,6 +216,36 @@
 		Expect(last.Instance).To(BeEquivalentTo("i-b"))
 		Expect(last.QueuePolicy).To(Equal(hop.AllowQueueing))
 	})
+	It("go to no target that announced its leaving, although the record of its node says that it accepts calls", func() {
+		leaving := load
+		leaving.Leaving = true
+		f := &fakeNodes{outcomes: outcomes{func(c *hop.Call) hop.Outcome {
+			l := load
+			if c.Instance == "i-a" {
+				l = leaving
+			}
+			return &hop.Answered{Status: 200, Header: http.Header{}, Load: l, Release: func() {}}
+		}}}
+		d, table, members := newDispatcherWithTable(f, 3, ampleBudget)
+		callsToA := func() (n int) {
+			for range 50 {
+				get(d, "/order/")
+			}
+			for _, c := range f.calls {
+				if c.Instance == "i-a" {
+					n++
+				}
+			}
+			return n
+		}
+		Expect(callsToA()).To(Equal(1))
+		members[0].Incarnation++ // the node has restarted and has forgotten the leaving
+		table.Update(members)
+		Expect(callsToA()).To(Equal(1))
+		members[0].Target.StartTime++
+		table.Update(members)
+		Expect(callsToA()).To(Equal(2), "a later start of the target is called again, and announces its leaving again")
+	})
 	It("include no hedge if there is no other target", func() {
 		f := &fakeNodes{outcomes: outcomes{unacknowledged, answered(500)}}
 		o := get(newDispatcher(f, 1, ampleBudget), "/safe/")
--- a/dispatch/hedge.go
+++ b/dispatch/hedge.go
@@ -32,6 +32,9 @@
 		now := d.dispatcher.deps.Now()
 		p.attemptEnded(o, now)
 		d.dispatcher.overloads.observe(c.Service, o, now)
+		if hop.LoadOf(o).Leaving {
+			d.dispatcher.deps.Peers.RecordDeparture(p)
+		}
 		if answered, ok := o.(*hop.Answered); ok {
 			release := answered.Release
 			answered.Release = func() {
--- a/dispatch/overload.go
+++ b/dispatch/overload.go
@@ -22,16 +22,7 @@
 
 // observe records whether an outcome reports an overload of a service.
 func (v *overloads) observe(s config.ServiceName, o hop.Outcome, now time.Time) {
-	overloaded := false
-	switch o := o.(type) {
-	case *hop.Answered:
-		overloaded = o.Load.Overloaded
-	case hop.Refused:
-		overloaded = o.Load.Overloaded
-	case hop.Failed:
-		overloaded = o.Load.Overloaded
-	}
-	if !overloaded {
+	if !hop.LoadOf(o).Overloaded {
 		return
 	}
 	v.mu.Lock()
--- a/dispatch/peer.go
+++ b/dispatch/peer.go
@@ -32,6 +32,8 @@
 	Instance lifecycle.ID
 	Slots    int
 
+	startTime lifecycle.StartTime // of the target
+
 	mu       sync.Mutex
 	warmAt   time.Time // end of the target's warm-up
 	load     hop.Load
@@ -50,7 +52,7 @@
 // newPeer returns a peer for a member; it has no load figures yet.
 func newPeer(m member.Member, d Distance) *Peer {
 	return &Peer{Node: m.Node, Address: m.Address, Distance: d, Service: m.Target.Service, Instance: m.Target.ID, Slots: m.Target.Slots,
-		warmAt: m.ReceivedAt.Add(m.Target.WarmUp)}
+		startTime: m.Target.StartTime, warmAt: m.ReceivedAt.Add(m.Target.WarmUp)}
 }
 
 // Available reports whether the peer's node is responsive, or its back-off has ended.
@@ -78,18 +80,14 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.inflight--
-	var l hop.Load
+	l := hop.LoadOf(o)
 	switch o := o.(type) {
-	case *hop.Answered:
-		l = o.Load
 	case hop.Refused:
-		l = o.Load
 		if o.Cause == hop.Unreachable {
 			p.backOff(now)
 			return
 		}
 	case hop.Failed:
-		l = o.Load
 		if o.Cause == hop.Silent || (o.Cause == hop.Broken && l == (hop.Load{})) {
 			p.backOff(now)
 			return
--- a/dispatch/table.go
+++ b/dispatch/table.go
@@ -1,6 +1,8 @@
 package dispatch
 
 import (
+	"maps"
+	"slices"
 	"sync"
 	"sync/atomic"
 
@@ -22,6 +24,7 @@
 	self      Location
 	mu        sync.Mutex
 	peers     map[peerKey]*Peer
+	departed  lifecycle.Departures // targets that announced their leaving, whatever the records of their nodes say
 	byService atomic.Pointer[map[config.ServiceName][]*Peer]
 }
 
@@ -35,11 +38,26 @@
 
 // NewPeerTable returns an empty table for a node at a location.
 func NewPeerTable(self Location) *PeerTable {
-	t := &PeerTable{self: self, peers: map[peerKey]*Peer{}}
+	t := &PeerTable{self: self, peers: map[peerKey]*Peer{}, departed: lifecycle.NewDepartures(maxDeparted)}
 	t.byService.Store(&map[config.ServiceName][]*Peer{})
 	return t
 }
 
+const maxDeparted = 4096 // more targets than leave while their nodes' records may still say that they accept calls
+
+// RecordDeparture removes a peer whose target has announced its leaving; only a later start of the target is added again.
+func (t *PeerTable) RecordDeparture(p *Peer) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if t.departed.Contains(p.Instance, p.startTime) {
+		return
+	}
+	t.departed.Add(p.Instance, p.startTime)
+	byService := maps.Clone(*t.byService.Load())
+	byService[p.Service] = slices.DeleteFunc(slices.Clone(byService[p.Service]), func(other *Peer) bool { return other == p })
+	t.byService.Store(&byService)
+}
+
 // Update replaces the table's contents with the members that serve calls; peers that stay keep their load and back-off state.
 func (t *PeerTable) Update(members []member.Member) {
 	t.mu.Lock()
@@ -47,7 +65,7 @@
 	kept := map[peerKey]*Peer{}
 	byService := map[config.ServiceName][]*Peer{}
 	for _, m := range members {
-		if !m.AcceptsCalls() {
+		if !m.AcceptsCalls() || t.departed.Contains(m.Target.ID, m.Target.StartTime) {
 			continue
 		}
 		key := peerKey{m.Node, m.Address, m.Target.ID, m.Target.StartTime, m.Incarnation}
--- a/gate/call.go
+++ b/gate/call.go
@@ -433,16 +433,13 @@
 	if changed {
 		g.loggedLimit = limit
 	}
-	leaving := v.Leaving && !g.leavingSeen
-	g.leavingSeen = g.leavingSeen || v.Leaving
-	state := g.tracker.Target().State
 	g.mu.Unlock()
 	g.metrics.rateLimitNamed(limit)
 	if changed {
 		g.deps.Log.Info("target changed its rate limit", "call", c.ID, "instance", s.target.ID, "limit", limit.String(), "before", before.String())
 	}
-	if leaving {
-		g.deps.Log.Info("target announced its leaving in an answer", "call", c.ID, "instance", s.target.ID, "state", state)
+	if v.Leaving {
+		g.transition("answer", func(t *lifecycle.Tracker) bool { return t.MarkLeaving(s.target.ID, s.target.StartTime) })
 	}
 }
 
--- a/gate/gate.go
+++ b/gate/gate.go
@@ -58,7 +58,6 @@
 	answered      bool                         // the target has answered a call, so its rate limit is known
 	limitNamedAt  time.Time                    // when an answer last named a rate limit
 	loggedLimit   RateLimit                    // rate limit when it was last logged
-	leavingSeen   bool                         // the target's leaving has been logged
 	running       map[hop.CallID]execution     // calls that the target is executing
 	responseSizes map[config.RouteName]float64 // mean size of a route's responses in bytes
 	checking      bool                         // a health check is running
@@ -141,7 +140,7 @@
 		g.pool.Close()
 		g.pool = exchange.NewPool(maxIdleConns)
 		g.failureRate, g.slowdown = 0, 1
-		g.answered, g.limitNamedAt, g.loggedLimit, g.leavingSeen = false, time.Time{}, RateLimit{}, false
+		g.answered, g.limitNamedAt, g.loggedLimit = false, time.Time{}, RateLimit{}
 		g.queue.SetRateLimit(now, RateLimit{})
 		g.queue.RejectAll(hop.NotHere)
 	}
@@ -196,6 +195,9 @@
 			if h.RateLimit.Named && t.Target().ID == h.ID {
 				g.queue.SetRateLimit(g.deps.Now(), h.RateLimit)
 			}
+			if h.Leaving {
+				return t.MarkLeaving(h.ID, 0)
+			}
 			return err == nil && t.HandleHealthCheck(h.ID, h.Healthy, h.Load.Slots, g.service, address)
 		})
 	}()
@@ -236,6 +238,7 @@
 	l := hop.Load{Running: g.queue.Running(), Waiting: g.queue.Waiting(), Limit: g.queue.Limit(),
 		ServiceTime: time.Duration(float64(g.queue.ServiceTime()) * g.slowdown), ExpectedWait: g.queue.ExpectedWait(now, newTicket(c)), Cold: now.Before(t.WarmAt), Overloaded: g.queue.Overloaded(now), UplinkBacklog: g.deps.Uplink.Backlog(),
 		DownlinkBacklog: g.deps.Downlink.Backlog()}
+	l.Leaving = t.State == lifecycle.Leaving && t.ID == c.Instance
 	if limit := g.queue.RateLimit(); limit.Named {
 		l.RateLimit, l.RateWait = max(limit.PerSecond, minRate), g.queue.RateWait(now)
 	}
--- a/gate/ratelimit_test.go
+++ b/gate/ratelimit_test.go
@@ -159,6 +159,22 @@
 	})
 })
 
+var _ = Describe("a target that announces its leaving in an answer", func() {
+	It("gets no further call, although its heartbeats go on", func() {
+		t := newAnnouncingTarget()
+		t.announce(platform.LeavingHeader, "1")
+		g := newGateFor(t)
+		first := g.Do(context.Background(), callTo("first", hop.AllowQueueing, time.Second))
+		Expect(first).To(BeAssignableToTypeOf(&hop.Answered{}))
+		Expect(hop.LoadOf(first).Leaving).To(BeTrue())
+		g.HandleHeartbeat(lifecycle.Heartbeat{ID: "i-1", StartTime: 1, Sequence: 9, Service: "stock", Address: g.Target().Address, Slots: 9})
+		later := g.Do(context.Background(), callTo("later", hop.AllowQueueing, time.Second))
+		Expect(later).To(BeAssignableToTypeOf(hop.Refused{}))
+		Expect(later.(hop.Refused).Cause).To(Equal(hop.Closed))
+		Expect(t.calls()).To(Equal(1))
+	})
+})
+
 var _ = Describe("a queue with a rate limit", func() {
 	It("keeps the arrivals of any window within the limits named while they rise, fall and end", func() {
 		rapid.Check(GinkgoT(), func(t *rapid.T) {
--- a/hop/call.go
+++ b/hop/call.go
@@ -73,6 +73,7 @@
 	DownlinkBacklog time.Duration // backlog of accepted bodies on the VM's incoming link
 	Overloaded      bool          // calls that could have met their soft deadline are being refused
 	RateLimit       CallRate      // calls that the target accepts from all nodes together; zero means no limit
+	Leaving         bool          // the target has announced that it leaves
 	RateWait        time.Duration // until the limit admits one more call behind the queued ones; negative if it admits several
 }
 
@@ -110,6 +111,19 @@
 // Outcome is the result of a call: *Answered, Refused or Failed.
 type Outcome interface{ outcome() }
 
+// LoadOf returns the load that an outcome reports.
+func LoadOf(o Outcome) Load {
+	switch o := o.(type) {
+	case *Answered:
+		return o.Load
+	case Refused:
+		return o.Load
+	case Failed:
+		return o.Load
+	}
+	return Load{}
+}
+
 // Answered holds the target's answer.
 type Answered struct {
 	Status    int
--- a/hop/header.go
+++ b/hop/header.go
@@ -53,6 +53,7 @@
 	TargetStatus      int
 	RateLimit         float64
 	RateWaitUs        int64
+	Leaving           bool
 }
 
 const (
@@ -119,7 +120,7 @@
 	w.Running, w.Waiting, w.Limit, w.ServiceTimeUs, w.ExpectedWaitUs = l.Running, l.Waiting, l.Limit, l.ServiceTime.Microseconds(), l.ExpectedWait.Microseconds()
 	w.UplinkBacklogUs, w.DownlinkBacklogUs = l.UplinkBacklog.Microseconds(), l.DownlinkBacklog.Microseconds()
 	w.FailurePercent, w.Cold, w.Overloaded, w.TargetStatus = l.FailurePercent, l.Cold, l.Overloaded, status
-	w.RateLimit, w.RateWaitUs = float64(l.RateLimit), l.RateWait.Microseconds()
+	w.RateLimit, w.RateWaitUs, w.Leaving = float64(l.RateLimit), l.RateWait.Microseconds(), l.Leaving
 	h[outcomeHeader] = []string{encode(w)}
 	return status
 }
@@ -138,7 +139,7 @@
 	l := Load{Running: w.Running, Waiting: w.Waiting, Limit: w.Limit, ServiceTime: time.Duration(w.ServiceTimeUs) * time.Microsecond,
 		ExpectedWait: time.Duration(w.ExpectedWaitUs) * time.Microsecond, FailurePercent: w.FailurePercent, Cold: w.Cold, Overloaded: w.Overloaded,
 		UplinkBacklog: time.Duration(w.UplinkBacklogUs) * time.Microsecond, DownlinkBacklog: time.Duration(w.DownlinkBacklogUs) * time.Microsecond,
-		RateLimit: CallRate(w.RateLimit), RateWait: time.Duration(w.RateWaitUs) * time.Microsecond}
+		RateLimit: CallRate(w.RateLimit), RateWait: time.Duration(w.RateWaitUs) * time.Microsecond, Leaving: w.Leaving}
 	switch w.Kind {
 	case kindAnswered:
 		return &Answered{Status: resp.StatusCode, Header: resp.Header, Length: resp.ContentLength, Load: l}, CallID(w.ID), nil
--- /dev/null
+++ b/lifecycle/departures.go
@@ -0,0 +1,28 @@
+package lifecycle
+
+// Departures records targets that have left, by the latest start time of each; it is not safe for concurrent use.
+type Departures struct {
+	startTimes map[ID]StartTime
+	limit      int
+}
+
+// NewDepartures returns an empty record that is cleared when it would hold more than limit targets.
+func NewDepartures(limit int) Departures {
+	return Departures{startTimes: map[ID]StartTime{}, limit: limit}
+}
+
+// Add records that a target has left.
+func (d *Departures) Add(id ID, startTime StartTime) {
+	if len(d.startTimes) >= d.limit {
+		clear(d.startTimes)
+	}
+	if startTime >= d.startTimes[id] {
+		d.startTimes[id] = startTime
+	}
+}
+
+// Contains reports whether the target has left since this start; a later start of the same target has not.
+func (d *Departures) Contains(id ID, startTime StartTime) bool {
+	left, ok := d.startTimes[id]
+	return ok && startTime <= left
+}
--- a/lifecycle/tracker.go
+++ b/lifecycle/tracker.go
@@ -57,13 +57,13 @@
 // Tracker tracks successive targets on one node's VM; it is not safe for concurrent use.
 type Tracker struct {
 	current  Target
-	departed map[ID]StartTime // latest start time of each target that has left; its delayed heartbeats are ignored
+	departed Departures // targets that have left; their delayed heartbeats are ignored
 }
 
-const maxDeparted = 256 // entries; far more targets than leave one VM in the time that a heartbeat may be delayed
-
 // NewTracker returns a tracker without a target.
-func NewTracker() *Tracker { return &Tracker{departed: map[ID]StartTime{}} }
+func NewTracker() *Tracker { return &Tracker{departed: NewDepartures(maxDeparted)} }
+
+const maxDeparted = 256 // far more targets than leave one VM in the time that a heartbeat may be delayed
 
 // Target returns the current target; its ID is empty if there is none.
 func (t *Tracker) Target() Target { return t.current }
@@ -71,7 +71,7 @@
 // HandleHeartbeat applies a heartbeat. It reports whether the target changed and whether a health check has to confirm that it
 // is running: the first heartbeat that a restarted node receives may be a delayed one from a target that has already left.
 func (t *Tracker) HandleHeartbeat(h Heartbeat, now time.Time) (changed, unconfirmed bool) {
-	if startTime, ok := t.departed[h.ID]; ok && h.StartTime <= startTime {
+	if t.departed.Contains(h.ID, h.StartTime) {
 		return false, false
 	}
 	if !t.current.SameStart(h.ID, h.StartTime) {
@@ -99,7 +99,7 @@
 	case t.current.State == Leaving:
 	case h.Draining:
 		t.current.State = Leaving
-		t.recordDeparture(h.ID, h.StartTime)
+		t.departed.Add(h.ID, h.StartTime)
 	case t.current.State == Down, t.current.State == Unknown && !first:
 		t.current.State = Open
 	}
@@ -113,7 +113,7 @@
 	switch {
 	case h.Draining:
 		t.current.State = Leaving
-		t.recordDeparture(h.ID, h.StartTime)
+		t.departed.Add(h.ID, h.StartTime)
 	case replaces:
 		// It started after the target that this process has observed, so the heartbeat can't be a delayed one from before that.
 		t.current.State = Open
@@ -131,7 +131,7 @@
 	if startTime == 0 && t.current.ID == id {
 		startTime = t.current.StartTime
 	}
-	t.recordDeparture(id, startTime)
+	t.departed.Add(id, startTime)
 	if t.current.ID != id || t.current.State == Leaving {
 		return false
 	}
@@ -139,6 +139,11 @@
 	return true
 }
 
+// MarkLeaving records that the current target has announced its leaving in an answer; it reports whether that changed it.
+func (t *Tracker) MarkLeaving(id ID, startTime StartTime) bool {
+	return t.current.SameStart(id, startTime) && t.Deregister(id, startTime)
+}
+
 // Restore applies the target state that a previous process of this node published; only a departure is carried over.
 func (t *Tracker) Restore(id ID, startTime StartTime, s State) bool {
 	if s != Leaving || id == "" {
@@ -153,7 +158,11 @@
 	if id == "" || !healthy {
 		return false
 	}
-	if startTime, ok := t.departed[id]; ok && (t.current.ID != id || t.current.StartTime <= startTime) {
+	startTime := StartTime(0)
+	if t.current.ID == id {
+		startTime = t.current.StartTime
+	}
+	if t.departed.Contains(id, startTime) {
 		return false
 	}
 	switch {
@@ -182,16 +191,7 @@
 	if t.current.ID != id {
 		return false
 	}
-	t.recordDeparture(id, t.current.StartTime)
+	t.departed.Add(id, t.current.StartTime)
 	t.current = Target{}
 	return true
 }
-
-func (t *Tracker) recordDeparture(id ID, startTime StartTime) {
-	if len(t.departed) >= maxDeparted {
-		clear(t.departed)
-	}
-	if startTime >= t.departed[id] {
-		t.departed[id] = startTime
-	}
-}
