soak: targets name rate limits and announce their leaving

The soak couldn't see a target called beyond its limit. A new event makes all targets of a service name a limit for 7 to 10 s; every target that drains announces it in its answers. Two invariants check the users' bounds at the targets: calls in 4 s against the limit from 3 s after it was first named, and calls of a VM later than the drain period after its node passed on the announcement (restarts and pauses of that node excuse it).

--- a/soak/caller.go
+++ b/soak/caller.go
@@ -16,6 +16,7 @@
 
 	"github.com/cassialead/cassialead/config"
 	"github.com/cassialead/cassialead/hop"
+	"github.com/cassialead/cassialead/lifecycle"
 	"github.com/cassialead/cassialead/platform"
 )
 
@@ -24,7 +25,8 @@
 	callTimeout      = 2 * time.Second       // of each call
 	cancelShare      = 0.03                  // share of the calls that the caller cancels before the response
 	soakHost         = "soak.example"
-	atMostOnceShare  = 0.4 // share of the calls that may be executed only once
+	vmHeader         = "Soak-Vm" // name of the caller's VM
+	atMostOnceShare  = 0.4       // share of the calls that may be executed only once
 )
 
 var lastCallNumber atomic.Uint64
@@ -125,6 +127,7 @@
 	r.Header.Set(platform.RequestIDHeader, string(id))
 	r.Header.Set(platform.TimeoutHeader, strconv.FormatInt(callTimeout.Milliseconds(), 10))
 	r.Header.Set(platform.CallerServiceHeader, "forged")
+	r.Header.Set(vmHeader, c.vm.name)
 	resp, err := c.client.Do(r)
 	if err != nil {
 		return 0, "", false, err
@@ -134,6 +137,9 @@
 	if err != nil {
 		return 0, "", false, errors.Join(err, errTruncated)
 	}
+	if resp.Header.Get(platform.LeavingHeader) != "" {
+		c.checker.RecordLeaving(lifecycle.ID(resp.Header.Get(platform.InstanceIDHeader)), c.vm.name)
+	}
 	return resp.StatusCode, string(b), resp.Header.Get(platform.SignatureHeader) != "", nil
 }
 
--- a/soak/checker.go
+++ b/soak/checker.go
@@ -21,6 +21,8 @@
 	MonotonicVersion   Invariant = "no older version"  // a node reverted to an older configuration
 	GracefulStop       Invariant = "planned stop"      // a call that had reached a target was cut off by a node that was asked to stop
 	Recovery           Invariant = "recovery"          // calls are not served, or the latest version is not active, after all faults have ended
+	RateLimited        Invariant = "rate limit"        // a target got more calls than the rate limit allows that it had named
+	AnnouncedLeaving   Invariant = "announced leaving" // a target got a call from a VM later than the drain period after that VM's node had passed on its leaving
 	CallerService      Invariant = "caller's service"  // a target received a call with a service name other than that of the caller's VM
 )
 
@@ -50,11 +52,18 @@
 	executions map[hop.CallID][]execution
 	refused    map[hop.CallID]int // status with which an at-most-once call was refused as not executed
 	draining   map[lifecycle.ID]time.Time
+	leaving    map[passedOn]time.Time
 	outcomes   map[string]int // number of calls by outcome
 	history    []outcome
 	violations []Violation
 }
 
+// passedOn identifies answers of a target that announced its leaving and were passed on by the node of a VM.
+type passedOn struct {
+	target lifecycle.ID
+	vm     string
+}
+
 // outcome records when a call ended and whether it was served.
 type outcome struct {
 	at     time.Time
@@ -63,7 +72,7 @@
 
 // NewChecker returns a checker without records.
 func NewChecker(now time.Time) *Checker {
-	return &Checker{start: now, executions: map[hop.CallID][]execution{}, refused: map[hop.CallID]int{}, draining: map[lifecycle.ID]time.Time{},
+	return &Checker{start: now, executions: map[hop.CallID][]execution{}, refused: map[hop.CallID]int{}, draining: map[lifecycle.ID]time.Time{}, leaving: map[passedOn]time.Time{},
 		outcomes: map[string]int{}}
 }
 
@@ -94,6 +103,34 @@
 	c.draining[target] = time.Now()
 }
 
+// RecordLeaving records that the node of a VM has passed on an answer in which a target announces its leaving.
+func (c *Checker) RecordLeaving(target lifecycle.ID, vm string) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if _, ok := c.leaving[passedOn{target, vm}]; !ok {
+		c.leaving[passedOn{target, vm}] = time.Now()
+	}
+}
+
+// LeavingPassedOn returns how long ago the node of a VM has first passed on a target's leaving.
+func (c *Checker) LeavingPassedOn(target lifecycle.ID, vm string) (time.Duration, bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	at, ok := c.leaving[passedOn{target, vm}]
+	return time.Since(at), ok
+}
+
+// ForgetLeaving forgets what the node of a VM has passed on: it has been restarted or suspended since.
+func (c *Checker) ForgetLeaving(vm string) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for p := range c.leaving {
+		if p.vm == vm {
+			delete(c.leaving, p)
+		}
+	}
+}
+
 // Executions returns how many times a call was executed.
 func (c *Checker) Executions(id hop.CallID) int {
 	c.mu.Lock()
--- a/soak/event.go
+++ b/soak/event.go
@@ -6,6 +6,7 @@
 	"net/http"
 	"time"
 
+	"github.com/cassialead/cassialead/hop"
 	"github.com/cassialead/cassialead/platform/standin"
 )
 
@@ -64,6 +65,13 @@
 	Duration time.Duration
 }
 
+// LimitTargets makes all targets of a service name a rate limit.
+type LimitTargets struct {
+	Service   int // index into services
+	PerSecond hop.CallRate
+	Duration  time.Duration
+}
+
 // CrashTarget stops a target without notice and starts a new one after a duration.
 type CrashTarget struct {
 	VM       int
@@ -90,6 +98,7 @@
 func (RemoveMembers) event()   {}
 func (CompactStore) event()    {}
 func (FailTargets) event()     {}
+func (LimitTargets) event()    {}
 func (CrashTarget) event()     {}
 func (ReplaceTarget) event()   {}
 func (PublishVersions) event() {}
@@ -121,6 +130,7 @@
 	minDuration  = 200 * time.Millisecond
 	quietShare   = 0.15 // of the steps that are followed by a planned operation between two pauses, which no fault overlaps
 	quietPause   = maxDuration + quietPeriod + minDuration
+	maxRateLimit = 20   // calls per second that a target with a limit accepts at most; nodes offer each target more
 	burstShare   = 0.25 // of the steps that are followed by the next one after minDuration
 )
 
@@ -148,7 +158,7 @@
 func randomEvent(rng *rand.Rand, nodes int) Event {
 	vm := rng.IntN(nodes)
 	duration := minDuration + time.Duration(rng.Int64N(int64(maxDuration-minDuration)))
-	switch rng.IntN(15) {
+	switch rng.IntN(17) {
 	case 0:
 		return Kill{vm}
 	case 1:
@@ -169,6 +179,8 @@
 		return FailTargets{vm % len(services), TargetFaults{DropResponses: 0.2 * rng.Float64(), Errors: 0.2 * rng.Float64(), SlowFactor: 1 + 4*rng.Float64()}, duration}
 	case 10:
 		return CrashTarget{vm, duration}
+	case 11, 12:
+		return LimitTargets{vm % len(services), hop.CallRate(maxRateLimit * rng.Float64()), limitSettles + limitWindow + duration}
 	}
 	return randomPlannedEvent(rng, nodes)
 }
--- a/soak/fleet.go
+++ b/soak/fleet.go
@@ -60,7 +60,8 @@
 		cfg := settings.Agent{VM: fleet.NodeID(fmt.Sprintf("vm-%d", i)), DataCentre: c.dc, Region: c.region, Service: services[i%len(services)],
 			CallAddress: f.freePort(), LinkAddress: f.freePort(), AdvertisedAddress: f.freePort(), ReadinessAddress: f.freePort(), ControlAddress: f.freePort(), TargetAddress: f.freePort(), StoreAddress: f.freePort(), HeartbeatInterval: heartbeatInterval, ShutdownGrace: shutdownGrace,
 			DrainPeriod: drainPeriod, RetryBudgetRatio: 0.2, RetryBudgetSlack: 60, RetryBudgetWindow: 10 * time.Second, MemoryLimitBytes: memoryLimit, MinLease: time.Second}
-		v := &VM{name: string(cfg.VM), service: cfg.Service, cfg: cfg, program: o.Program, env: o.Env, log: log, quietFor: f.quietFor}
+		v := &VM{name: string(cfg.VM), service: cfg.Service, cfg: cfg, program: o.Program, env: o.Env, log: log, quietFor: f.quietFor,
+			restarted: func() { f.checker.ForgetLeaving(string(cfg.VM)) }}
 		f.vms = append(f.vms, v)
 		var err error
 		if v.linkProxy, err = NewProxy(string(cfg.AdvertisedAddress), string(cfg.LinkAddress)); err != nil {
@@ -191,6 +192,7 @@
 		f.vms[e.VM].signal(syscall.SIGSTOP)
 		sleep(ctx, e.Duration)
 		f.vms[e.VM].signal(syscall.SIGCONT)
+		f.checker.ForgetLeaving(f.vms[e.VM].name)
 	case Stop:
 		f.stopNode(f.vms[e.VM])
 	case Reload:
@@ -208,9 +210,13 @@
 	case CompactStore:
 		f.store.Compact()
 	case FailTargets:
-		f.setTargetFaults(services[e.Service], e.Faults)
+		f.eachTarget(services[e.Service], func(t *Target) { t.SetFaults(e.Faults) })
 		sleep(ctx, e.Duration)
-		f.setTargetFaults(services[e.Service], TargetFaults{})
+		f.eachTarget(services[e.Service], func(t *Target) { t.SetFaults(TargetFaults{}) })
+	case LimitTargets:
+		f.eachTarget(services[e.Service], func(t *Target) { t.limit(e.PerSecond) })
+		sleep(ctx, e.Duration)
+		f.eachTarget(services[e.Service], (*Target).unlimit)
 	case CrashTarget:
 		return f.replaceTarget(f.vms[e.VM], func(old *Target) {
 			old.close()
@@ -227,11 +233,11 @@
 	return nil
 }
 
-// setTargetFaults sets the faults of all targets of a service.
-func (f *Fleet) setTargetFaults(s config.ServiceName, faults TargetFaults) {
+// eachTarget applies a change to all targets of a service.
+func (f *Fleet) eachTarget(s config.ServiceName, change func(*Target)) {
 	for _, v := range f.vms {
 		if t := v.currentTarget(); t != nil && v.service == s {
-			t.SetFaults(faults)
+			change(t)
 		}
 	}
 }
--- a/soak/target.go
+++ b/soak/target.go
@@ -8,6 +8,7 @@
 	"math/rand/v2"
 	"net"
 	"net/http"
+	"strconv"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -54,6 +55,7 @@
 	draining  atomic.Bool
 	inFlight  atomic.Int32
 	faults    atomic.Pointer[TargetFaults]
+	rateLimit atomic.Pointer[rateLimit]
 	server    *http.Server
 	done      chan struct{}
 	closeOnce sync.Once
@@ -85,6 +87,55 @@
 // SetFaults replaces the target's faults.
 func (t *Target) SetFaults(f TargetFaults) { t.faults.Store(&f) }
 
+// rateLimit is the limit that a target names, and its calls since its first answer with the limit.
+type rateLimit struct {
+	perSecond hop.CallRate
+
+	mu       sync.Mutex
+	namedAt  time.Time
+	arrivals []time.Time
+}
+
+const (
+	limitSettles = 3 * time.Second // after the first answer with the limit, from which the limit is binding
+	limitWindow  = 4 * time.Second // in which calls are counted
+	limitFactor  = 1.5             // times what the limit allows in a window
+	limitSlack   = 5               // calls per window
+)
+
+// limit makes the target name a rate limit, unless it names one already.
+func (t *Target) limit(perSecond hop.CallRate) {
+	t.rateLimit.CompareAndSwap(nil, &rateLimit{perSecond: perSecond})
+}
+
+// unlimit makes the target name no limit.
+func (t *Target) unlimit() { t.rateLimit.Store(nil) }
+
+// named records that an answer names the limit.
+func (l *rateLimit) named() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.namedAt.IsZero() {
+		l.namedAt = time.Now()
+	}
+}
+
+// arrived records a call; it returns the number of calls in the window that ends now and whether the limit allows them.
+func (l *rateLimit) arrived() (calls int, allowed bool) {
+	now := time.Now()
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.namedAt.IsZero() || now.Sub(l.namedAt) < limitSettles {
+		return 0, true
+	}
+	l.arrivals = append(l.arrivals, now)
+	for now.Sub(l.arrivals[0]) > limitWindow {
+		l.arrivals = l.arrivals[1:]
+	}
+	calls = len(l.arrivals)
+	return calls, float64(calls) <= limitFactor*float64(l.perSecond)*limitWindow.Seconds()+limitSlack
+}
+
 // close stops the target at once, as a crash does.
 func (t *Target) close() {
 	t.closeOnce.Do(func() {
@@ -152,6 +203,7 @@
 		w.WriteHeader(http.StatusMisdirectedRequest)
 		return
 	}
+	t.announce(w, r)
 	body, err := io.ReadAll(r.Body)
 	if err != nil {
 		return
@@ -170,6 +222,24 @@
 	t.respond(w, id, body)
 }
 
+// announce checks a call against what the target has announced, and adds its announcements to the response.
+func (t *Target) announce(w http.ResponseWriter, r *http.Request) {
+	if l := t.rateLimit.Load(); l != nil {
+		if calls, allowed := l.arrived(); !allowed {
+			t.checker.RecordViolation(RateLimited, "%s, limited to %.1f calls/s, got %d in %v", t.id, l.perSecond, calls, limitWindow)
+		}
+		w.Header().Set(platform.RateLimitHeader, strconv.FormatFloat(float64(l.perSecond), 'f', 1, 64))
+		l.named()
+	}
+	vm := r.Header.Get(vmHeader)
+	if since, ok := t.checker.LeavingPassedOn(t.id, vm); ok && since > t.drain {
+		t.checker.RecordViolation(AnnouncedLeaving, "%s got a call of %s %v after that one passed on its leaving", t.id, vm, since.Round(time.Millisecond))
+	}
+	if t.draining.Load() {
+		w.Header().Set(platform.LeavingHeader, "1")
+	}
+}
+
 // respond sleeps for the service time and sends the response, or fails as the faults require.
 func (t *Target) respond(w http.ResponseWriter, id hop.CallID, body []byte) {
 	f := t.faults.Load()
--- a/soak/vm.go
+++ b/soak/vm.go
@@ -34,6 +34,7 @@
 	linkProxy    *Proxy // between other nodes and this one
 	storeProxy   *Proxy // between this node and the store
 	quietFor     func(time.Duration) bool
+	restarted    func() // called before the node's process is started again
 
 	mu           sync.Mutex
 	process      *os.Process
@@ -72,6 +73,7 @@
 		_ = cmd.Wait() // a killed process returns an error
 		close(exited)
 		time.Sleep(restartDelay)
+		v.restarted()
 		if err := v.startProcess(); err != nil {
 			_, _ = io.WriteString(v.log, err.Error()+"\n")
 		}
