hop, gate: nodes of different versions read each other's outcome headers

During a rolling stop old and new nodes exchange outcomes; the header is encoded by position and got three fields at its end. Beside it the gauge of the limit is cleared when another target starts, and a limit named by a health check is kept against older answers as one of an answer is.

--- a/gate/call.go
+++ b/gate/call.go
@@ -407,6 +407,12 @@
 	}
 }
 
+// nameRateLimit applies a limit that the target has named; it is called with mu held.
+func (g *Gate) nameRateLimit(now time.Time, l RateLimit) {
+	g.limitNamedAt = now
+	g.queue.SetRateLimit(now, l)
+}
+
 // recordNotices applies the rate limit and the leaving that a target announces in its answer.
 func (g *Gate) recordNotices(c *hop.Call, s *slot, v Verdict) {
 	if v.WrongTarget || !v.Genuine && !v.NotExecuted {
@@ -421,8 +427,7 @@
 	g.answered = true
 	switch {
 	case v.RateLimit.Named:
-		g.limitNamedAt = now
-		g.queue.SetRateLimit(now, v.RateLimit)
+		g.nameRateLimit(now, v.RateLimit)
 	case !s.acquired.Before(g.limitNamedAt):
 		// An answer to an earlier call may be older than the one that named the limit.
 		g.queue.SetRateLimit(now, RateLimit{})
--- a/gate/gate.go
+++ b/gate/gate.go
@@ -142,6 +142,7 @@
 		g.failureRate, g.slowdown = 0, 1
 		g.answered, g.limitNamedAt, g.loggedLimit = false, time.Time{}, RateLimit{}
 		g.queue.SetRateLimit(now, RateLimit{})
+		g.metrics.rateLimitNamed(RateLimit{})
 		g.queue.RejectAll(hop.NotHere)
 	}
 	if t.State != lifecycle.Open {
@@ -193,7 +194,7 @@
 		g.transition("health check", func(t *lifecycle.Tracker) bool {
 			g.checking = false
 			if h.RateLimit.Named && t.Target().ID == h.ID {
-				g.queue.SetRateLimit(g.deps.Now(), h.RateLimit)
+				g.nameRateLimit(g.deps.Now(), h.RateLimit)
 			}
 			if h.Leaving {
 				return t.MarkLeaving(h.ID, 0)
--- a/gate/queue.go
+++ b/gate/queue.go
@@ -48,9 +48,9 @@
 func (Queued) decision()   {}
 func (Rejected) decision() {}
 
-// Queue is the admission queue for a target's slots and its rate limit. Calls are ordered by rank; within a rank, calls that can still meet their
-// soft deadline come before late ones, and each group is ordered by earliest soft deadline. A late call is worth less than one
-// on time, so it waits only briefly for an idle slot and is refused otherwise. It is not safe for concurrent use.
+// Queue is the admission queue for a target's slots and its rate limit. Calls are ordered by rank; within a rank, calls that can
+// still meet their soft deadline come before late ones, and each group is ordered by earliest soft deadline. A late call is worth
+// less than one on time, so it waits only briefly for an idle slot and is refused otherwise. It is not safe for concurrent use.
 type Queue struct {
 	limit             int
 	running           int
--- a/hop/call.go
+++ b/hop/call.go
@@ -73,8 +73,8 @@
 	DownlinkBacklog time.Duration // backlog of accepted bodies on the VM's incoming link
 	Overloaded      bool          // calls that could have met their soft deadline are being refused
 	RateLimit       CallRate      // calls that the target accepts from all nodes together; zero means no limit
-	Leaving         bool          // the target has announced that it leaves
 	RateWait        time.Duration // until the limit admits one more call behind the queued ones; negative if it admits several
+	Leaving         bool          // the target drains or has announced that it leaves
 }
 
 // Cause is the reason for which a call was refused or failed.
