gate: a refused call reports its load as of now, not of its arrival

A call refused after a wait in the queue computed its load for the time of its arrival, up to a quarter of a second earlier. Callers' nodes then took the wait for the rate limit to be that much longer, and the bucket's level stepped back until the next call; its sum stayed right.

The new spec fails without the change of the bucket: the wait is told as 375 ms in place of 250.

--- a/gate/call.go
+++ b/gate/call.go
@@ -176,7 +176,7 @@
 		}
 		return s, nil
 	case Rejected:
-		return nil, &hop.Refused{Cause: d.Cause, RetryAfter: d.Wait, Load: g.load(now, c)}
+		return nil, &hop.Refused{Cause: d.Cause, RetryAfter: d.Wait, Load: g.load(g.deps.Now(), c)}
 	}
 	panic("queue returned no decision on a call")
 }
--- a/gate/rate.go
+++ b/gate/rate.go
@@ -60,7 +60,11 @@
 
 func (b *tokenBucket) capacity() float64 { return baseBurst + b.perSecond()*burstPeriod.Seconds() }
 
+// refill adds the tokens accrued since the last call; an earlier time than that of the last call adds none.
 func (b *tokenBucket) refill(now time.Time) {
+	if now.Before(b.refilledAt) {
+		return
+	}
 	b.tokens = min(b.tokens+b.perSecond()*now.Sub(b.refilledAt).Seconds(), b.capacity())
 	b.refilledAt = now
 }
--- a/gate/ratelimit_test.go
+++ b/gate/ratelimit_test.go
@@ -265,6 +265,14 @@
 		q.SetRateLimit(at(10), gate.RateLimit{})
 		Expect(w.decision).To(BeAssignableToTypeOf(gate.Admitted{}))
 	})
+	It("is not set back by a question about an earlier time", func() {
+		q := gate.NewQueue()
+		q.SetLimit(start, 9)
+		q.SetRateLimit(start, gate.RateLimit{Named: true, PerSecond: 2})
+		Expect(q.RateWait(at(250))).To(Equal(250 * time.Millisecond))
+		Expect(q.RateWait(at(125))).To(Equal(250*time.Millisecond), "as of the latest time")
+		Expect(q.RateWait(at(500))).To(BeZero())
+	})
 	It("does not count a call that was admitted and not sent", func() {
 		q := gate.NewQueue()
 		q.SetLimit(start, 9)
