--- a/agent/agent_test.go
+++ b/agent/agent_test.go
@@ -6,6 +6,7 @@
 	"io"
 	"net"
 	"net/http"
+	"strconv"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -218,6 +219,33 @@
 		}
 		Expect(n.target.runs.Load()).To(Equal(runs))
 	})
+	It("receives no more calls from all nodes together than the rate limit that it names, while targets with room serve the rest", func() {
+		const perSecond, most, watched, interval = 5, 35, 4 * time.Second, 10 * time.Millisecond // most: one and a half times the limit in 4 s, and 5 more
+		s := newCluster("stock", "orders", "stock", "orders")
+		n := s.nodes[0]
+		n.target.fault.Store(func(w http.ResponseWriter, _ *http.Request) bool {
+			w.Header().Set("Server-Limit", strconv.Itoa(perSecond))
+			return false
+		})
+		Eventually(func() int64 {
+			s.nodes[1].call(http.MethodGet, "/stock/1", "")
+			return n.target.runs.Load()
+		}).WithTimeout(waitTimeout).Should(BeNumerically(">", 0))
+		before := n.target.runs.Load()
+		var wg sync.WaitGroup
+		var calls, served atomic.Int64
+		for begun := time.Now(); time.Since(begun) < watched; time.Sleep(interval) {
+			wg.Go(func() {
+				defer GinkgoRecover()
+				if s.nodes[calls.Add(1)%int64(len(s.nodes))].status("/stock/1")() == 200 {
+					served.Add(1)
+				}
+			})
+		}
+		wg.Wait()
+		Expect(n.target.runs.Load() - before).To(BeNumerically("<=", most))
+		Expect(served.Load()).To(Equal(calls.Load()), "the other target has room for all")
+	})
 	It("receives no call from a node that passed on its leaving, although its own node restarts without the store", func() {
 		s := newCluster("stock", "orders", "stock")
 		n := s.nodes[0]
