review: orders run on the caller's machine get no answer at the route's timeout (CONFIG)

An order whose answer is lost and whose target runs on the caller's own machine has no answer half a second after its route's timeout; its caller leaves unanswered.

--- a/review/_standin/main.go
+++ b/review/_standin/main.go
@@ -20,7 +20,8 @@
 
 // cases are the scripts by name; a script returns whether its rule was broken.
 var cases = map[string]func(*deployment) (broken bool, err error){
-	"late-beats": lateBeats,
+	"late-beats":   lateBeats,
+	"lost-answers": lostAnswers,
 }
 
 func main() {
