review: a region's targets are not used again after the region was cut off (CONFIG)

After a region was cut off for 30 s, the other region's nodes refuse each request for its services with 503, so that a part of a split route gets a share of 0.00 in place of 0.50.

--- a/review/_standin/deployment.go
+++ b/review/_standin/deployment.go
@@ -103,8 +103,9 @@
 	for _, s := range services {
 		list = append(list, config.PlanService{Name: config.ServiceName(s), HealthPath: healthPath, MaxConnections: 120})
 	}
-	d.store.Put(string(platform.PlanKey), platform.FormatPlan(config.Version(v), list, rules))
-	d.record("operator: version %d acknowledged by the store", v)
+	plan := platform.FormatPlan(config.Version(v), list, rules)
+	d.store.Put(string(platform.PlanKey), plan)
+	d.record("operator: version %d of %d bytes acknowledged by the store", v, len(plan))
 }
 
 // route returns a rule for all calls to one service under a prefix.
--- a/review/_standin/main.go
+++ b/review/_standin/main.go
@@ -22,6 +22,7 @@
 var cases = map[string]func(*deployment) (broken bool, err error){
 	"late-beats":   lateBeats,
 	"lost-answers": lostAnswers,
+	"cut-region":   cutRegion,
 }
 
 func main() {
