--- a/review/_standin/main.go
+++ b/review/_standin/main.go
@@ -23,6 +23,7 @@
 	"late-beats":   lateBeats,
 	"lost-answers": lostAnswers,
 	"cut-region":   cutRegion,
+	"turned-away":  turnedAway,
 }
 
 func main() {
