review: a node that missed many versions gets none from the store for a while (CONFIG)

A node that was partitioned from the store while the operator wrote many versions reads the same oversized answer again and again once the store is back, and refuses routes that were acknowledged more than 2 s before.

--- a/review/_standin/main.go
+++ b/review/_standin/main.go
@@ -24,6 +24,7 @@
 	"lost-answers": lostAnswers,
 	"cut-region":   cutRegion,
 	"turned-away":  turnedAway,
+	"backlog":      storeBacklog,
 }
 
 func main() {
