--- a/review/_standin/beats.go
+++ b/review/_standin/beats.go
@@ -14,7 +14,7 @@
 const (
 	rollGap       = 1300 * time.Millisecond
 	beatsDelayed  = 2                      // last heartbeats before the departure, which arrive late
-	beatsAfter    = 500 * time.Millisecond // after the node is ready again
+	beatsAfter    = 200 * time.Millisecond // after the node is ready again
 	servesFor     = 20 * time.Second       // from the acknowledged departure to the target's end
 	probeInterval = 50 * time.Millisecond
 	beatsTimeout  = 2500 * time.Millisecond
@@ -58,20 +58,31 @@
 	}
 	ackAt := time.Now()
 	d.record("the departure of %s is acknowledged", leaver.id)
+	rolled := make(chan error, 1)
+	go func() {
+		if d.trouble {
+			rolled <- d.roll(rollGap, leaver.n, d.nodes[3], d.nodes[0], d.nodes[1])
+			return
+		}
+		rolled <- nil
+	}()
 	if d.trouble {
-		if err := d.roll(rollGap, leaver.n, d.nodes[3], d.nodes[0], d.nodes[1]); err != nil {
+		if err := d.awaitRestart(leaver.n, ackAt); err != nil {
 			return false, err
 		}
 	}
-	if err := d.awaitReady(d.nodes...); err != nil {
-		return false, err
-	}
 	time.Sleep(beatsAfter)
 	for _, seq := range late {
 		status, err := leaver.sendBeat(seq)
 		d.record("heartbeat %d of %s arrives: status %d, %v", seq, leaver.id, status, err)
 		time.Sleep(200 * time.Millisecond)
 	}
+	if err := <-rolled; err != nil {
+		return false, err
+	}
+	if err := d.awaitReady(d.nodes...); err != nil {
+		return false, err
+	}
 	var wg sync.WaitGroup
 	var broken atomic.Int32
 	for end := ackAt.Add(servesFor); time.Now().Before(end); time.Sleep(probeInterval) {
