review: a node goes on using an upstream whose draining it acknowledges (DRAIN)

One heartbeat of another writer, of a service that the configuration doesn't name, raises the sequence of the current target; later heartbeats of the target itself, also those that say draining, are dropped as old and acknowledged.

--- a/review/_standin/main.go
+++ b/review/_standin/main.go
@@ -21,9 +21,9 @@
 // cases are the scripts by name; a script returns whether its rule was broken.
 var cases = map[string]func(*deployment) (broken bool, err error){
 	"late-beats":   lateBeats,
-	"lost-answers": lostAnswers,
-	"cut-region":   cutRegion,
+	"foreign-beat": foreignBeat,
 	"turned-away":  turnedAway,
+	"cut-region":   cutRegion,
 	"backlog":      storeBacklog,
 }
 
--- a/review/_standin/target.go
+++ b/review/_standin/target.go
@@ -8,7 +8,6 @@
 	"net"
 	"net/http"
 	"strconv"
-	"strings"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -25,9 +24,8 @@
 	id      string
 	born    int64
 	work    time.Duration
-	padding int // bytes added to an answer's body
 	seq     atomic.Uint64
-	leaving atomic.Bool
+	leaving atomic.Bool // the health check fails and heartbeats say draining
 	beating atomic.Bool
 	ln      net.Listener
 	// answer runs after the request has been read and before the usual handling; it reports whether it has dealt with the
@@ -131,29 +129,43 @@
 // success returns the answer to a request that was run to a good end.
 func (t *target) success(id string, body []byte) []byte {
 	var b bytes.Buffer
-	content := "done " + id + " " + strconv.Itoa(len(body)) + strings.Repeat(".", t.padding) + "\n"
+	content := "done " + id + " " + strconv.Itoa(len(body)) + "\n"
 	fmt.Fprintf(&b, "HTTP/1.1 200 OK\r\nRequest-Id: %s\r\nResponse-Signature: %s.%s\r\nInstance-Id: %s\r\nServer-Load: 1,0,%d,100\r\nContent-Length: %d\r\n\r\n%s",
 		id, t.id, id, t.id, slots, len(content), content)
 	return b.Bytes()
 }
 
-// shed is the answer of a target that rejects a request.
-const shed = "HTTP/1.1 503 Service Unavailable\r\nNot-Executed: 1\r\nContent-Length: 0\r\n\r\n"
-
 // beat sends heartbeats to the node beside the target.
 func (t *target) beat() {
 	for t.beating.Load() {
-		if _, err := t.sendBeat(t.seq.Add(1)); err != nil {
+		state := "ready"
+		if t.leaving.Load() {
+			state = "draining"
+		}
+		if _, err := t.sendState(t.seq.Add(1), state); err != nil {
 			t.d.record("%s: heartbeat not acknowledged: %v", t.id, err)
 		}
 		time.Sleep(heartbeat)
 	}
 }
 
+// announceDrain reports that the target drains and returns when that was acknowledged; heartbeats go on.
+func (t *target) announceDrain() (ackAt time.Time, err error) {
+	t.leaving.Store(true)
+	status, err := t.sendState(t.seq.Add(1), "draining")
+	if err != nil || status/100 != 2 {
+		return time.Time{}, fmt.Errorf("draining not acknowledged: status %d, %w", status, err)
+	}
+	t.d.record("the draining of %s is acknowledged", t.id)
+	return time.Now(), nil
+}
+
 // sendBeat sends a heartbeat that says ready.
-func (t *target) sendBeat(seq uint64) (status int, err error) {
-	return t.post("/api/Instances.Heartbeat/"+t.id, fmt.Sprintf(`{"born":%d,"address":%q,"info":{"service":%q,"version":"v1","zone":%q,"slots":%d},"status":{"state":"ready","sequence":%d,"coldLeftS":0}}`,
-		t.born, t.n.app, t.n.service, t.n.zone, slots, seq))
+func (t *target) sendBeat(seq uint64) (status int, err error) { return t.sendState(seq, "ready") }
+
+func (t *target) sendState(seq uint64, state string) (status int, err error) {
+	return t.post("/api/Instances.Heartbeat/"+t.id, fmt.Sprintf(`{"born":%d,"address":%q,"info":{"service":%q,"version":"v1","zone":%q,"slots":%d},"status":{"state":%q,"sequence":%d,"coldLeftS":0}}`,
+		t.born, t.n.app, t.n.service, t.n.zone, slots, state, seq))
 }
 
 // deregister announces that the target leaves.
