--- a/review/_standin/beats.go
+++ b/review/_standin/beats.go
@@ -14,9 +14,11 @@
 const (
 	rollGap       = 1300 * time.Millisecond
 	beatsDelayed  = 2                      // last heartbeats before the departure, which arrive late
-	beatsAfter    = 200 * time.Millisecond // after the node is ready again
-	servesFor     = 20 * time.Second       // from the acknowledged departure to the target's end
+	beatsApart    = 100 * time.Millisecond // between the late heartbeats
+	inTouchMargin = 100 * time.Millisecond
+	servesFor     = 12 * time.Second // from the acknowledged departure to the target's end
 	probeInterval = 50 * time.Millisecond
+	probesEach    = 4 // requests of each VM's callers at once
 	beatsTimeout  = 2500 * time.Millisecond
 )
 
@@ -47,9 +49,9 @@
 	// The last heartbeats are on their way and arrive late; they are numbered before the departure.
 	var late []uint64
 	for range beatsDelayed {
+		time.Sleep(heartbeat)
 		late = append(late, leaver.seq.Add(1))
 		d.record("%s sends heartbeat %d, which is delayed", leaver.id, late[len(late)-1])
-		time.Sleep(heartbeat)
 	}
 	leaver.leaving.Store(true)
 	status, err := leaver.deregister()
@@ -58,35 +60,25 @@
 	}
 	ackAt := time.Now()
 	d.record("the departure of %s is acknowledged", leaver.id)
-	rolled := make(chan error, 1)
-	go func() {
-		if d.trouble {
-			rolled <- d.roll(rollGap, leaver.n, d.nodes[3], d.nodes[0], d.nodes[1])
-			return
-		}
-		rolled <- nil
-	}()
 	if d.trouble {
-		if err := d.awaitRestart(leaver.n, ackAt); err != nil {
+		if err := d.roll(rollGap, leaver.n, d.nodes[3]); err != nil {
 			return false, err
 		}
 	}
-	time.Sleep(beatsAfter)
+	if err := d.awaitReady(d.nodes...); err != nil {
+		return false, err
+	}
+	time.Sleep(contact + inTouchMargin)
 	for _, seq := range late {
 		status, err := leaver.sendBeat(seq)
 		d.record("heartbeat %d of %s arrives: status %d, %v", seq, leaver.id, status, err)
-		time.Sleep(200 * time.Millisecond)
-	}
-	if err := <-rolled; err != nil {
-		return false, err
-	}
-	if err := d.awaitReady(d.nodes...); err != nil {
-		return false, err
+		time.Sleep(beatsApart)
 	}
 	var wg sync.WaitGroup
 	var broken atomic.Int32
 	for end := ackAt.Add(servesFor); time.Now().Before(end); time.Sleep(probeInterval) {
-		for _, n := range d.nodes {
+		for i := range len(d.nodes) * probesEach {
+			n := d.nodes[i%len(d.nodes)]
 			wg.Go(func() {
 				r := d.call(n, http.MethodPost, "/orders/new", "order", beatsTimeout)
 				if leaver.ran(r.id) > 0 && r.sentAt.Sub(ackAt) > drain && n.inTouch(r.sentAt) && leaver.n.inTouch(r.sentAt) {
--- a/review/_standin/deployment.go
+++ b/review/_standin/deployment.go
@@ -258,20 +258,6 @@
 	return errors.Join(errs...)
 }
 
-// awaitRestart waits until a process of the node that was started after a moment is ready.
-func (d *deployment) awaitRestart(n *node, after time.Time) error {
-	for end := time.Now().Add(readyTimeout); time.Now().Before(end); time.Sleep(20 * time.Millisecond) {
-		n.mu.Lock()
-		restarted := n.startedAt.After(after)
-		n.mu.Unlock()
-		if restarted && n.isReady() {
-			d.record("%s is ready again", n.name)
-			return nil
-		}
-	}
-	return fmt.Errorf("%s is not ready again after %v", n.name, readyTimeout)
-}
-
 func (n *node) isReady() bool {
 	c := http.Client{Timeout: time.Second, Transport: &http.Transport{DisableKeepAlives: true}}
 	resp, err := c.Get("http://" + n.ready + platform.ReadinessPath)
--- a/review/_standin/foreign.go
+++ b/review/_standin/foreign.go
@@ -12,9 +12,9 @@
 
 // The figures of foreignBeat.
 const (
-	foreignSequence = 1000                  // of the heartbeat of another writer
-	foreignServes   = 10 * time.Second      // from the acknowledged departure to the target's end
-	foreignInterval = 50 * time.Millisecond // between two requests of one VM's callers
+	foreignSequence = 1000                   // of the heartbeat of another writer
+	foreignBurst    = 8                      // requests of each VM's callers
+	foreignMargin   = 100 * time.Millisecond // from the end of the drain period to them
 	foreignTimeout  = 2500 * time.Millisecond
 )
 
@@ -52,9 +52,11 @@
 	if err != nil {
 		return false, err
 	}
+	// The callers are quiet until drainS has passed, so that no answer tells the node of the leaving before.
+	time.Sleep(time.Until(ackAt.Add(drain + foreignMargin)))
 	var wg sync.WaitGroup
 	var broken atomic.Int32
-	for end := ackAt.Add(foreignServes); time.Now().Before(end); time.Sleep(foreignInterval) {
+	for range foreignBurst {
 		for _, n := range d.nodes {
 			wg.Go(func() {
 				r := d.call(n, http.MethodPost, "/orders/new", "order", foreignTimeout)
--- a/review/_standin/target.go
+++ b/review/_standin/target.go
@@ -28,21 +28,11 @@
 	leaving atomic.Bool // the health check fails and heartbeats say draining
 	beating atomic.Bool
 	ln      net.Listener
-	// answer runs after the request has been read and before the usual handling; it reports whether it has dealt with the
-	// request. It may be nil.
-	answer func(c *targetConn, r *http.Request) bool
 
 	mu   sync.Mutex
 	runs map[string]int
 }
 
-// targetConn is one connection of a target.
-type targetConn struct {
-	net.Conn
-	// late is sent before the answer to the next request.
-	late []byte
-}
-
 func (d *deployment) addTarget(n *node, id string, work time.Duration) (*target, error) {
 	ln, err := net.Listen("tcp4", n.app)
 	if err != nil {
@@ -62,11 +52,11 @@
 		if err != nil {
 			return
 		}
-		go t.serve(&targetConn{Conn: c})
+		go t.serve(c)
 	}
 }
 
-func (t *target) serve(c *targetConn) {
+func (t *target) serve(c net.Conn) {
 	defer func() { _ = c.Close() }()
 	br := bufio.NewReader(c)
 	for {
@@ -78,20 +68,13 @@
 		if err != nil {
 			return
 		}
-		if len(c.late) > 0 {
-			_, _ = c.Write(c.late)
-			c.late = nil
-		}
 		if r.URL.Path == healthPath {
 			t.writeHealth(c)
 			continue
 		}
 		id := r.Header.Get(platform.RequestIDHeader)
 		if want := r.Header.Get(platform.TargetHeader); want != "" && want != t.id {
-			_, _ = fmt.Fprintf(c, "HTTP/1.1 421 Misdirected Request\r\nInstance-Id: %s\r\nContent-Length: 0\r\n\r\n", t.id)
-			continue
-		}
-		if t.answer != nil && t.answer(c, r) {
+			_, _ = fmt.Fprintf(c, "HTTP/1.1 421 Misdirected Request\r\nRequest-Id: %s\r\nInstance-Id: %s\r\nContent-Length: 0\r\n\r\n", id, t.id)
 			continue
 		}
 		t.run(id)
@@ -129,9 +112,13 @@
 // success returns the answer to a request that was run to a good end.
 func (t *target) success(id string, body []byte) []byte {
 	var b bytes.Buffer
+	leaving := ""
+	if t.leaving.Load() {
+		leaving = platform.LeavingHeader + ": 1\r\n"
+	}
 	content := "done " + id + " " + strconv.Itoa(len(body)) + "\n"
-	fmt.Fprintf(&b, "HTTP/1.1 200 OK\r\nRequest-Id: %s\r\nResponse-Signature: %s.%s\r\nInstance-Id: %s\r\nServer-Load: 1,0,%d,100\r\nContent-Length: %d\r\n\r\n%s",
-		id, t.id, id, t.id, slots, len(content), content)
+	fmt.Fprintf(&b, "HTTP/1.1 200 OK\r\nRequest-Id: %s\r\nResponse-Signature: %s.%s\r\nInstance-Id: %s\r\nServer-Load: 1,0,%d,100\r\n%sContent-Length: %d\r\n\r\n%s",
+		id, t.id, id, t.id, slots, leaving, len(content), content)
 	return b.Bytes()
 }
 
