--- a/agent/agent.go
+++ b/agent/agent.go
@@ -35,6 +35,7 @@
 type Agent struct {
 	deps       Deps
 	startedAt  time.Time
+	times      syncTimes
 	cfg        atomic.Pointer[settings.Agent]
 	peers      *dispatch.PeerTable
 	dispatcher *dispatch.Dispatcher
@@ -61,7 +62,8 @@
 	era                 atomic.Uint64                  // highest era of the store that this node knows of
 	storeFailing        atomic.Bool                    // store calls of this node have failed for longer than headFailureTime
 	siblingStoreFailing atomic.Bool                    // the region's other head reports that its store calls fail
-	planBurst           bool                           // configurations change faster than they can be watched; used by syncState only
+	syncMu              sync.Mutex                     // guards planBurst, and is held while the store is read
+	planBurst           bool                           // configurations change faster than they can be watched
 	inflight            inflight
 	bodyMemory          bodyMemory
 	servers             []*http.Server
@@ -69,10 +71,10 @@
 
 // New returns an agent with the given settings; Run opens its sockets.
 func New(cfg settings.Agent, deps Deps) *Agent {
-	a := &Agent{deps: deps, startedAt: deps.Now(), view: member.NewView(), changed: make(chan struct{}), excludedUntil: map[fleet.NodeID]time.Time{}, transport: hop.NewTransport(deps.Now)}
+	a := &Agent{deps: deps, startedAt: deps.Now(), times: newSyncTimes(cfg.ApplyTime), view: member.NewView(), changed: make(chan struct{}), excludedUntil: map[fleet.NodeID]time.Time{}, transport: hop.NewTransport(deps.Now)}
 	a.cfg.Store(&cfg)
 	a.bodyMemory.limit = cfg.MemoryLimitBytes / bodyMemoryShare
-	a.storeContact.Store(int64(-staleAge)) // no contact yet
+	a.storeContact.Store(int64(-a.times.stale)) // no contact yet
 	a.position.Store(&store.Position{})
 	a.peers = dispatch.NewPeerTable(dispatch.Location{Node: cfg.VM, DataCentre: cfg.DataCentre, Region: cfg.Region})
 	a.budget = dispatch.NewRetryBudget(dispatch.RetryLimits{Ratio: cfg.RetryBudgetRatio, Slack: cfg.RetryBudgetSlack, Window: cfg.RetryBudgetWindow})
@@ -81,6 +83,7 @@
 	a.dispatcher = dispatch.New(dispatch.Deps{Peers: a.peers, Transport: a.transport, Gate: a.gate, Budget: a.budget, Log: deps.Log,
 		Metrics: deps.Metrics, Now: deps.Now})
 	a.registrar = newRegistrar(a)
+	deps.Metrics.GetOrCreateGauge("cassialead_store_age_seconds", func() float64 { return a.storeAge().Seconds() })
 	deps.Metrics.GetOrCreateGauge("cassialead_store_revision", func() float64 { return float64(a.position.Load().Revision) })
 	a.peerClient = &http.Client{Transport: &http.Transport{DialContext: (&net.Dialer{Timeout: peerTimeout}).DialContext, DisableKeepAlives: true, MaxResponseHeaderBytes: maxHeaderBytes},
 		Timeout: peerTimeout}
@@ -188,6 +191,7 @@
 	work, stop := context.WithCancel(context.WithoutCancel(ctx))
 	defer stop()
 	go a.syncState(work)
+	go a.limitAge(work)
 	go a.registrar.run(work)
 	go a.probeMembers(work)
 	go a.applySettings(work, reload)
--- a/agent/cluster_test.go
+++ b/agent/cluster_test.go
@@ -124,7 +124,7 @@
 		n := &node{target: newFakeTarget(fmt.Sprintf("i-%d", i), time.Now().UnixMilli())}
 		n.cfg = settings.Agent{VM: fleet.NodeID(fmt.Sprintf("vm-%d", i)), DataCentre: "costa-norte", Region: "costa", CallAddress: freePort(), LinkAddress: freePort(),
 			ReadinessAddress: freePort(), ControlAddress: freePort(), Service: config.ServiceName(service), TargetAddress: fleet.Address(n.target.address),
-			StoreAddress: fleet.Address(s.store.Address()), HeartbeatInterval: time.Second, ShutdownGrace: 6 * time.Second, DrainPeriod: 2 * time.Second,
+			StoreAddress: fleet.Address(s.store.Address()), HeartbeatInterval: time.Second, ShutdownGrace: 6 * time.Second, DrainPeriod: 2 * time.Second, ApplyTime: 2 * time.Second,
 			RetryBudgetRatio: 0.2, RetryBudgetSlack: 60, RetryBudgetWindow: 10 * time.Second, MinLease: time.Second}
 		n.cfg.AdvertisedAddress = n.cfg.LinkAddress
 		change(&n.cfg)
--- /dev/null
+++ b/agent/staleness_test.go
@@ -0,0 +1,106 @@
+package agent_test
+
+import (
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"github.com/cassialead/cassialead/agent"
+	"github.com/cassialead/cassialead/platform/standin"
+	"github.com/cassialead/cassialead/settings"
+)
+
+const (
+	changeTime  = 2 * time.Second       // for a change to be in force on the nodes that the store serves
+	changeDelay = 50 * time.Millisecond // after the store has turned nodes away
+	versionPoll = 20 * time.Millisecond
+)
+
+// twoCentres moves every other node into a second data centre, so that each has a head, its children and a deeper position.
+func twoCentres(cfg *settings.Agent) {
+	switch cfg.VM {
+	case "vm-1", "vm-3", "vm-5":
+		cfg.DataCentre = "costa-sur"
+	}
+}
+
+// without returns the names of nodes that are not in a set.
+func (s *cluster) without(names map[string]bool) []*node {
+	var others []*node
+	for _, n := range s.nodes {
+		if !names[string(n.cfg.VM)] {
+			others = append(others, n)
+		}
+	}
+	return others
+}
+
+// A node that follows a parent relied on the parent's word for 2.5 s before it looked for another one, above the time in which a
+// change has to be in force.
+var _ = Describe("a node that the store serves, while the store turns away the nodes above it", func() {
+	faults := map[string]standin.Faults{
+		"silence":    {NoResponse: true},
+		"resets":     {Reset: true},
+		"status 503": {Status: 503},
+		"status 429": {Status: 429},
+	}
+	away := map[string]func(*cluster) map[string]bool{
+		"one head": func(s *cluster) map[string]bool {
+			for n := range s.heads() {
+				return map[string]bool{n: true}
+			}
+			return nil
+		},
+		"both heads": (*cluster).heads,
+		"both heads and half of the other nodes": func(s *cluster) map[string]bool {
+			names := s.heads()
+			for _, n := range s.without(names)[:2] {
+				names[string(n.cfg.VM)] = true
+			}
+			return names
+		},
+	}
+	for name, fault := range faults {
+		for position, away := range away {
+			It("has a change in force in time if those are "+position+" and get "+name, func() {
+				s := newClusterWith(twoCentres, "stock", "orders", "stock", "orders", "stock", "orders")
+				turnedAway := away(s)
+				// The heads' watches return with this change, so that their contact is as recent as it can be when the store turns them away.
+				s.store.Put("op/config", plan(2, "/stock/", "stock"))
+				for _, n := range s.nodes {
+					Eventually(n.version).WithPolling(versionPoll).Should(Equal(2), string(n.cfg.VM))
+				}
+				fault.AppliesTo = func(n string) bool { return turnedAway[n] }
+				s.store.SetFaults(fault)
+				time.Sleep(changeDelay)
+				s.store.Put("op/config", plan(3, "/stock/", "stock"))
+				written := time.Now()
+				for _, n := range s.without(turnedAway) {
+					Eventually(n.version).WithTimeout(changeTime-time.Since(written)).WithPolling(versionPoll).Should(Equal(3), string(n.cfg.VM))
+				}
+			})
+		}
+	}
+})
+
+var _ = Describe("the times of a node's state", func() {
+	for name, apply := range map[string]time.Duration{"2 s": 2 * time.Second, "3 s": 3 * time.Second, "5 s": 5 * time.Second} {
+		It("leave a node that reads the store itself within a bound of "+name+" and no other node reading it", func() {
+			t := agent.NewSyncTimes(apply)
+			for depth := 1; depth <= agent.MaxTreeDepth; depth++ {
+				usual := t.Watch() + agent.WatchInterval + time.Duration(depth)*agent.KeepaliveInterval
+				Expect(t.ReadAge(depth)).To(BeNumerically(">=", usual+agent.AgeSlack), "depth %d", depth)
+				Expect(t.ReadAge(depth)+agent.ReadReserve).To(BeNumerically("<=", apply), "depth %d", depth)
+				if depth > 1 {
+					Expect(t.ReadAge(depth)-t.ReadAge(depth-1)).To(BeNumerically(">=", agent.KeepaliveInterval), "depth %d", depth)
+				}
+			}
+		})
+	}
+	It("leave a node reading the store within a bound that is too short for the tree", func() {
+		t := agent.NewSyncTimes(time.Second)
+		Expect(t.ReadAge(agent.MaxTreeDepth)).To(BeNumerically("<", time.Second))
+		Expect(t.ReadAge(1)).To(BeNumerically(">", 0))
+	})
+})
--- a/agent/sync.go
+++ b/agent/sync.go
@@ -14,15 +14,12 @@
 )
 
 const (
-	watchTimeout      = time.Second            // of one watch; short, so that a watch that no longer delivers anything is soon replaced
 	watchInterval     = 250 * time.Millisecond // between two watches, to limit store calls when changes are frequent
 	bootstrapTime     = 3 * time.Second        // for the first nodes to write their entries, which happens after two heartbeats at the latest
 	bootstrapInterval = 500 * time.Millisecond // mean time between two stale lists while no other node is listed
 	minBackoff        = 200 * time.Millisecond // mean wait after the first failed store call, then doubled up to maxBackoff
 	maxBackoff        = time.Second            // mean wait after repeated failures; entries have to be restored within two seconds of the store's return
 
-	headStaleAge = 1800 * time.Millisecond // age of the last store contact from which a head counts as disconnected: a watch, the pause after it and two keepalives of the other head
-
 	headCheckInterval = 100 * time.Millisecond // between two checks whether a head must step down
 
 	maxParentFailures = 2 // in a row before the store is read directly; two failures take less than the time in which a change has to be in force
@@ -42,19 +39,20 @@
 			}
 			continue
 		}
-		wait := watchTimeout
+		wait := a.times.watch
 		if parent != nil || !a.membersLoaded.Load() {
 			wait = 0
 		}
 		failures = 0
+		a.syncMu.Lock()
 		err := a.syncFromStore(ctx, wait)
+		a.syncMu.Unlock()
 		a.recordEra(a.deps.Store.Era())
 		now := a.deps.Now()
 		switch {
 		case ctx.Err() != nil:
 			return
 		case err == nil:
-			a.recordStoreContact(now)
 			a.storeFailing.Store(false)
 			backoff, failingSince = minBackoff, time.Time{}
 			switch {
@@ -109,13 +107,9 @@
 // mustStepDown reports whether a head without store contact has to be replaced: the other head has no contact either, or sends
 // nothing.
 func (a *Agent) mustStepDown() bool {
-	return a.storeFailing.Load() && (a.siblingStoreFailing.Load() || a.storeAge() > headStaleAge) && a.membersLoaded.Load() && !a.storeOutage()
+	return a.storeFailing.Load() && (a.siblingStoreFailing.Load() || a.storeAge() > a.times.headStale) && a.membersLoaded.Load() && !a.storeOutage()
 }
 
-// staleAge is the age of the last store contact from which the store counts as disconnected: a watch, the pause after it and
-// one keepalive interval at each of three parents.
-const staleAge = 2200 * time.Millisecond
-
 // recordStoreContact records a contact with the store at the given time, made by this node or reported by a parent.
 func (a *Agent) recordStoreContact(at time.Time) {
 	if since := int64(at.Sub(a.startedAt)); since > a.storeContact.Load() {
@@ -130,7 +124,7 @@
 }
 
 // storeConnected reports whether the last contact with the store is recent.
-func (a *Agent) storeConnected() bool { return a.storeAge() < staleAge }
+func (a *Agent) storeConnected() bool { return a.storeAge() < a.times.stale }
 
 // logStoreConnection logs when contact with the store is lost or restored.
 func (a *Agent) logStoreConnection(err error) {
@@ -157,12 +151,14 @@
 }
 
 // syncFromStore lists the whole state or waits for changes after the last applied position. A watch delivers every
-// configuration of a burst although only the last one is needed, so the state is listed instead until the burst ends.
+// configuration of a burst although only the last one is needed, so the state is listed instead until the burst ends. The caller
+// holds syncMu.
 func (a *Agent) syncFromStore(ctx context.Context, wait time.Duration) error {
 	after := *a.position.Load()
 	if after.Revision == 0 || a.bootstrapping() {
 		return a.syncFromList(ctx)
 	}
+	contact := a.deps.Now()
 	asOf, plans, err := a.watchStore(ctx, after, wait)
 	switch {
 	case errors.Is(err, store.ErrCompacted), errors.Is(err, store.ErrReturned):
@@ -172,6 +168,10 @@
 	case err != nil:
 		return err
 	}
+	if wait > 0 {
+		contact = a.deps.Now() // the store answers when the watch ends
+	}
+	a.recordStoreContact(contact)
 	if a.planBurst = plans > 1; a.planBurst {
 		asOf = store.Position{}
 	}
@@ -185,7 +185,7 @@
 	// The first lists may be stale, which costs a tenth of a consistent list; later changes come from the parent or the
 	// next read. A stale list may be from before a return of the store, so its position is not used.
 	stale := a.bootstrapping() || !a.membersLoaded.Load()
-	previous := a.planVersion()
+	previous, contact := a.planVersion(), a.deps.Now()
 	asOf, err := a.listStore(ctx, stale)
 	if err != nil {
 		return err
@@ -195,6 +195,7 @@
 	if stale {
 		return nil
 	}
+	a.recordStoreContact(contact)
 	if !a.planBurst {
 		a.position.Store(&asOf)
 	}
--- a/agent/tree.go
+++ b/agent/tree.go
@@ -104,15 +104,15 @@
 		now := a.deps.Now()
 		a.recordEra(update.Era)
 		a.applyUpdate(update, string(parent.Node))
-		a.recordStoreContact(now.Add(-update.StoreAge))
+		a.recordParentContact(update, now)
 		a.logStoreConnection(errParentDisconnected)
 		switch {
 		case update.Disconnected:
 			return errParentDisconnected
-		case update.StoreAge < staleAge:
+		case update.StoreAge < a.times.stale:
 			staleSince = time.Time{}
 			if update.Revision > 0 {
-				a.position.Store(&store.Position{Era: update.Era, Revision: update.Revision})
+				a.advancePosition(store.Position{Era: update.Era, Revision: update.Revision})
 			}
 		case staleSince.IsZero():
 			staleSince = now
@@ -129,6 +129,15 @@
 	}
 }
 
+// recordParentContact records the store contact that a parent or the other head reports on a connection whose first update was
+// full.
+func (a *Agent) recordParentContact(update feed.Update, now time.Time) {
+	a.recordStoreContact(now.Add(-update.StoreAge))
+	if update.StoreAge < a.times.stale {
+		a.synced.Store(true)
+	}
+}
+
 // followSibling keeps a head connected to the other head of its region, so that one that loses the store alone still gets updates.
 func (a *Agent) followSibling(ctx context.Context) {
 	for ctx.Err() == nil {
@@ -161,7 +170,7 @@
 		a.recordEra(update.Era)
 		a.applyUpdate(update, string(sibling.Node))
 		a.siblingStoreFailing.Store(update.StoreFailing)
-		a.recordStoreContact(a.deps.Now().Add(-update.StoreAge))
+		a.recordParentContact(update, a.deps.Now())
 		if current := a.treePosition().Sibling; current == nil || current.Node != sibling.Node {
 			return nil
 		}
@@ -209,9 +218,6 @@
 	a.publishMembers(changes)
 	a.mu.Unlock()
 	a.registrar.restoreFromPeers(own)
-	if update.Full && update.StoreAge < staleAge {
-		a.synced.Store(true)
-	}
 	if !listed {
 		a.registrar.reportMissing()
 	}
--- a/member/tree.go
+++ b/member/tree.go
@@ -18,6 +18,8 @@
 	Parent *Member
 	// Sibling is the region's other head if the node is a head, or nil.
 	Sibling *Member
+	// Depth is the number of nodes on the way from the store, not counting the node itself; zero for a head.
+	Depth int
 }
 
 // Locate returns a node's position in the tree. A region has two heads, which watch the store and each other. Within a data
@@ -68,13 +70,29 @@
 		return Position{Sibling: &heads[1-i]}
 	}
 	i := slices.IndexFunc(local, func(m Member) bool { return m.Node == self })
-	switch {
-	case i > 0:
-		return Position{Parent: &local[(i-1)/FanOut]}
-	case i < 0 && len(local) > 0:
-		return Position{Parent: &local[0]}
+	if i < 0 && len(local) > 0 {
+		return Position{Parent: &local[0], Depth: depth(local, 0, heads) + 1}
 	}
-	return Position{Parent: &heads[0]}
+	if i > 0 {
+		return Position{Parent: &local[(i-1)/FanOut], Depth: depth(local, i, heads)}
+	}
+	return Position{Parent: &heads[0], Depth: 1}
+}
+
+// depth returns the depth of the node with index i in its data centre's tree.
+func depth(local []Member, i int, heads []Member) int {
+	d := 0
+	for ; i > 0 && !isHead(local[i].Node, heads); i = (i - 1) / FanOut {
+		d++
+	}
+	if !isHead(local[i].Node, heads) {
+		d++
+	}
+	return d
+}
+
+func isHead(n fleet.NodeID, heads []Member) bool {
+	return slices.ContainsFunc(heads, func(h Member) bool { return h.Node == n })
 }
 
 // compareBandwidth orders nodes by link bandwidth, highest first, then by hash and name.
--- a/settings/agent.go
+++ b/settings/agent.go
@@ -29,6 +29,8 @@
 	ShutdownGrace time.Duration
 	// DrainPeriod is the time after a target announces its departure within which new calls to it must cease.
 	DrainPeriod time.Duration
+	// ApplyTime is the time after the store's acknowledgement within which a change has to be in force on all nodes.
+	ApplyTime time.Duration
 	// The retry budget of all nodes together: retries per window are limited to a ratio of the calls plus a constant slack.
 	RetryBudgetRatio  float64
 	RetryBudgetSlack  float64
--- a/soak/fleet.go
+++ b/soak/fleet.go
@@ -22,7 +22,8 @@
 )
 
 const (
-	drainPeriod      = time.Second // of a draining target
+	drainPeriod      = time.Second     // of a draining target
+	applyTime        = 2 * time.Second // for a change to be in force
 	shutdownGrace    = 6 * time.Second
 	routeTimeout     = 1500 * time.Millisecond
 	latencyObjective = 300 * time.Millisecond
@@ -59,7 +60,7 @@
 		c := dataCentres[i/len(services)%len(dataCentres)]
 		cfg := settings.Agent{VM: fleet.NodeID(fmt.Sprintf("vm-%d", i)), DataCentre: c.dc, Region: c.region, Service: services[i%len(services)],
 			CallAddress: f.freePort(), LinkAddress: f.freePort(), AdvertisedAddress: f.freePort(), ReadinessAddress: f.freePort(), ControlAddress: f.freePort(), TargetAddress: f.freePort(), StoreAddress: f.freePort(), HeartbeatInterval: heartbeatInterval, ShutdownGrace: shutdownGrace,
-			DrainPeriod: drainPeriod, RetryBudgetRatio: 0.2, RetryBudgetSlack: 60, RetryBudgetWindow: 10 * time.Second, MemoryLimitBytes: memoryLimit, MinLease: time.Second}
+			DrainPeriod: drainPeriod, ApplyTime: applyTime, RetryBudgetRatio: 0.2, RetryBudgetSlack: 60, RetryBudgetWindow: 10 * time.Second, MemoryLimitBytes: memoryLimit, MinLease: time.Second}
 		v := &VM{name: string(cfg.VM), service: cfg.Service, cfg: cfg, program: o.Program, env: o.Env, log: log, quietFor: f.quietFor,
 			restarted: func() { f.checker.ForgetLeaving(string(cfg.VM)) }}
 		f.vms = append(f.vms, v)
