agent, feed: an update that leaves out a newer configuration does not vouch for the child's state

Cause: a connection carries one configuration every 0.3 s. An update in between named the age of the parent's contact with the store, which the child took for the age of its own state although it lacked a version. The bound on that age could not see the gap, nor could the child that loses its parent then.

Fix: such an update says that it is incomplete, at the end of the message, which older nodes ignore.

Before: the new test fails (an update without version 3 is not marked). After: it passes.

--- a/agent/staleness_test.go
+++ b/agent/staleness_test.go
@@ -1,12 +1,16 @@
 package agent_test
 
 import (
+	"context"
 	"time"
 
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
 
 	"github.com/cassialead/cassialead/agent"
+	"github.com/cassialead/cassialead/config"
+	"github.com/cassialead/cassialead/feed"
+	"github.com/cassialead/cassialead/member"
 	"github.com/cassialead/cassialead/platform/standin"
 	"github.com/cassialead/cassialead/settings"
 )
@@ -84,6 +88,36 @@
 	}
 })
 
+var _ = Describe("an update to a child", func() {
+	// A child that took the age of such an update for that of its own state did not look for the version that it lacked.
+	It("says so if a newer configuration is left out of it", func() {
+		s := newCluster("stock")
+		n := s.nodes[0]
+		conn, err := feed.Dial(context.Background(), n.cfg.VM, n.cfg.LinkAddress,
+			feed.Hello{Child: member.Record{Node: "vm-child", Address: "127.0.0.1:1", Incarnation: 1, Sequence: 1}, PlanVersion: 1})
+		Expect(err).NotTo(HaveOccurred())
+		defer conn.Close()
+		left := 0
+		for held := config.Version(1); held < 3; {
+			u, err := conn.Receive(waitTimeout)
+			Expect(err).NotTo(HaveOccurred())
+			switch {
+			case held == 1 && u.Full:
+				s.store.Put("op/config", plan(2, "/stock/", "stock"))
+			case u.PlanVersion == 2:
+				s.store.Put("op/config", plan(3, "/stock/", "stock")) // too soon to be sent at once
+				Eventually(n.version).WithPolling(time.Millisecond).Should(Equal(3))
+			case u.Incomplete:
+				left++
+			default:
+				Expect(u.PlanVersion == 3 || left == 0).To(BeTrue(), "an update without version 3 vouches for the child's state")
+			}
+			held = max(held, u.PlanVersion)
+		}
+		Expect(left).To(BeNumerically(">", 0))
+	})
+})
+
 var _ = Describe("the times of a node's state", func() {
 	for name, apply := range map[string]time.Duration{"2 s": 2 * time.Second, "3 s": 3 * time.Second, "5 s": 5 * time.Second} {
 		It("leave a node that reads the store itself within a bound of "+name+" and no other node reading it", func() {
--- a/agent/tree.go
+++ b/agent/tree.go
@@ -130,8 +130,12 @@
 }
 
 // recordParentContact records the store contact that a parent or the other head reports on a connection whose first update was
-// full.
+// full. The contact vouches for the state in
+// force here only if the update leaves nothing out.
 func (a *Agent) recordParentContact(update feed.Update, now time.Time) {
+	if update.Incomplete {
+		return
+	}
 	a.recordStoreContact(now.Add(-update.StoreAge))
 	if update.StoreAge < a.times.stale {
 		a.synced.Store(true)
@@ -282,7 +286,7 @@
 	case due:
 		update.Plan, update.PlanVersion, *plan = a.compressPlan(), v, v
 	default:
-		update.Revision = 0
+		update.Revision, update.Incomplete = 0, true
 	}
 	return update, a.changed
 }
--- a/feed/update.go
+++ b/feed/update.go
@@ -46,6 +46,8 @@
 	// to be sent.
 	Revision store.Revision
 	Era      store.Era // of Revision
+	// Incomplete means that a newer configuration is still to be sent, so that StoreAge does not apply to the receiver's state.
+	Incomplete bool
 }
 
 // Entry is a member's record and whether its key is missing from the store.
