dispatch: targets already tried are remembered by instance

Cause: tried targets were remembered by their Peer, and a record that changes during a call (slots, start time, incarnation) makes a new one, so a second attempt could go to the target that had refused the first. It bears the same id: a late copy of the first refusal would pass for its answer, and the caller be told 'not run'.

Before: the new test sends the call twice to the only target.

--- a/dispatch/delivery.go
+++ b/dispatch/delivery.go
@@ -84,14 +84,14 @@
 	peers := d.dispatcher.deps.Peers.Peers(d.call.Service)
 	need := d.criteria()
 	if len(d.busy) < maxBusyTargets && d.queueRefusals == 0 {
-		need.excluded = func(p *Peer) bool { return slices.Contains(d.excluded, p) || slices.Contains(d.busy, p) }
+		need.excluded = func(p *Peer) bool { return contains(d.excluded, p) || contains(d.busy, p) }
 		if p := cheapest(peers, need, now, d.rng); p != nil && p.hasFreeSlot(now, need) {
 			d.call.QueuePolicy = hop.FailFast
 			return p
 		}
 	}
 	d.call.QueuePolicy = hop.AllowQueueing
-	need.excluded = func(p *Peer) bool { return slices.Contains(d.excluded, p) }
+	need.excluded = func(p *Peer) bool { return contains(d.excluded, p) }
 	return cheapestQueue(peers, need, now, d.rng)
 }
 
@@ -154,6 +154,11 @@
 
 func (d *delivery) exclude(p *Peer) { d.excluded = append(d.excluded, p) }
 
+// contains reports whether peers has an entry for p's target, which may have got a new Peer since.
+func contains(peers []*Peer, p *Peer) bool {
+	return slices.ContainsFunc(peers, func(o *Peer) bool { return o.Instance == p.Instance })
+}
+
 // tryRetry reports whether a call that may have run can be retried at another target, and withdraws the token for it.
 func (d *delivery) tryRetry(now time.Time) bool {
 	if d.reached >= d.rule.MaxAttempts || d.call.Deadline.Sub(now) < minTimeLeft {
--- a/dispatch/delivery_test.go
+++ b/dispatch/delivery_test.go
@@ -248,6 +248,18 @@
 		table.Update(members, time.Now())
 		Expect(callsToA()).To(Equal(2), "a later start of the target is called again, and announces its leaving again")
 	})
+	// The second attempt has the id of the first: a late copy of the first refusal would pass for its answer.
+	It("do not go twice to a target whose record changes between them", func() {
+		f := &fakeNodes{}
+		d, table, members := newDispatcherWithTable(f, 1, ampleBudget)
+		f.outcomes = outcomes{func(c *hop.Call) hop.Outcome {
+			members[0].Target.Slots++
+			table.Update(members, time.Now())
+			return refused(hop.TargetShed)(c)
+		}}
+		get(d, "/order/")
+		Expect(f.calls).To(HaveLen(1))
+	})
 	It("include no hedge if there is no other target", func() {
 		f := &fakeNodes{outcomes: outcomes{unacknowledged, answered(500)}}
 		o := get(newDispatcher(f, 1, ampleBudget), "/safe/")
--- a/dispatch/hedge.go
+++ b/dispatch/hedge.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"net/http"
-	"slices"
 	"time"
 
 	"github.com/cassialead/cassialead/hop"
@@ -159,7 +158,7 @@
 	}
 	peers, need := d.dispatcher.deps.Peers.Peers(d.call.Service), d.criteria()
 	need.excluded = func(p *Peer) bool {
-		return p == first.peer || slices.Contains(d.excluded, p) || slices.Contains(d.busy, p)
+		return p.Instance == first.peer.Instance || contains(d.excluded, p) || contains(d.busy, p)
 	}
 	p, policy := cheapest(peers, need, now, d.rng), hop.FailFast
 	if p == nil || !p.hasFreeSlot(now, need) {
