platform, gate: a response without an id belongs to no call on a connection that has carried others

A faulty target writes an earlier refusal once more on a kept connection. Callers were told 503, not run, for an order that the target was running (REFUSED, and TWICE when they come back).

Cause: Match attributed a refusal without Request-Id by its status alone. Ruled out: refusals that name another request, which are skipped.

Before: 'an order on a kept connection ...' is answered 503 for the refusal without an id, 200 with one. After: 502 and 200, one run each.

--- a/gate/call.go
+++ b/gate/call.go
@@ -279,9 +279,15 @@
 // was sent is replaced by a new one. After a later reset the call is not sent again: the target may have received it, and a
 // target that resets connections under overload would receive it twice; the caller's node decides within its retry budget.
 func (g *Gate) send(ctx context.Context, c *hop.Call, s *slot, pooled *exchange.Conn) (*exchange.Response, error) {
+	if c.ID == "" {
+		// No response on a connection that has carried other calls could be told from a late one to those.
+		s.pool.Put(pooled)
+		pooled = nil
+	}
+	reused := pooled != nil
 	r := &exchange.Request{Method: c.Method, URI: c.URI, Host: c.Host, Body: c.Body,
 		Match: func(resp *http.Response) exchange.Match {
-			m := g.deps.Dialect.Match(c, resp)
+			m := g.deps.Dialect.Match(c, resp, reused)
 			if m == exchange.Stale {
 				g.metrics.staleResponses.Inc()
 				g.deps.Log.Info("skipped stale response of an earlier call", "call", c.ID, "instance", s.target.ID, "status", resp.StatusCode)
@@ -307,6 +313,7 @@
 	if err != nil {
 		return nil, err
 	}
+	reused = false
 	g.metrics.connections.Inc()
 	r.Header = g.deps.Dialect.Headers(c, s.target.ID, c.Deadline.Sub(g.deps.Now()))
 	return conn.Do(ctx, r)
--- a/gate/dialect.go
+++ b/gate/dialect.go
@@ -13,8 +13,8 @@
 type Dialect interface {
 	// Headers returns the request headers of a call to the target with this id; left is the time that the call may take.
 	Headers(c *hop.Call, id lifecycle.ID, left time.Duration) http.Header
-	// Match tells by its head whether a response belongs to the call.
-	Match(c *hop.Call, resp *http.Response) exchange.Match
+	// Match tells by its head whether a response belongs to the call; reused tells that the connection has carried other calls.
+	Match(c *hop.Call, resp *http.Response, reused bool) exchange.Match
 	// Judge returns what a response reports besides its status and body.
 	Judge(resp *http.Response) Verdict
 	// ReadHealth reads the response to a health check.
