--- a/agent/agent.go
+++ b/agent/agent.go
@@ -5,6 +5,7 @@
 	"log/slog"
 	"net"
 	"net/http"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -109,7 +110,12 @@
 	a.mergeRecords([]member.Record{r}, false)
 }
 
-// mergeRecords merges records from the store or from a peer into the member view.
+// mergePeerRecords merges records from another node into the member view.
+func (a *Agent) mergePeerRecords(records []member.Record, from string) {
+	a.mergeRecords(slices.DeleteFunc(records, func(r member.Record) bool { return !a.acceptRecord(r, from) }), false)
+}
+
+// mergeRecords merges accepted records into the member view.
 func (a *Agent) mergeRecords(records []member.Record, listed bool) {
 	now := a.deps.Now()
 	var changes []member.Change
--- a/agent/peer.go
+++ b/agent/peer.go
@@ -208,7 +208,7 @@
 
 func (a *Agent) applyViewUpdate(update viewUpdate, from string) {
 	a.applyCompressedPlan(update.Plan, update.Version, from)
-	a.mergeRecords(update.Records, false)
+	a.mergePeerRecords(update.Records, from)
 	if len(update.Records) > 0 {
 		a.membersLoaded.Store(true)
 		a.synced.Store(true)
@@ -299,7 +299,7 @@
 	a.mu.Lock()
 	a.view.MarkAlive(m.Node, response.Record.Incarnation, now)
 	a.mu.Unlock()
-	a.mergeRecords([]member.Record{response.Record}, false)
+	a.mergePeerRecords([]member.Record{response.Record}, string(m.Node))
 	if response.Plan == 0 && a.planVersion() > 0 {
 		// The member has started during a store outage and has no list of members to request updates from.
 		if err := a.requestPeer(ctx, http.MethodPost, m.Address, viewPath, a.viewUpdate(0, 0), nil); err != nil {
--- a/agent/sync.go
+++ b/agent/sync.go
@@ -282,11 +282,25 @@
 		return member.Record{}, false
 	}
 	var r member.Record
-	if err := json.Unmarshal(i.Value, &r); err != nil || r.Node != n || r.Address == "" || r.Incarnation == 0 {
+	err := json.Unmarshal(i.Value, &r)
+	if err == nil && r.Node != n {
+		err = errors.Newf("record of node %q", r.Node)
+	}
+	if err != nil {
 		a.deps.Log.Warn("malformed member record", "key", i.Key, "revision", i.Revision, "error", err)
 		return member.Record{}, false
 	}
-	return r, true
+	return r, a.acceptRecord(r, string(i.Key))
+}
+
+// acceptRecord reports whether a record from the store or from another node is one that a node may have published.
+func (a *Agent) acceptRecord(r member.Record, from string) bool {
+	if err := r.Validate(); err != nil {
+		a.deps.Log.Warn("member record refused", "from", from, "node", r.Node, "error", err)
+		a.deps.Metrics.GetOrCreateCounter("cassialead_refused_records_total").Inc()
+		return false
+	}
+	return true
 }
 
 func sleep(ctx context.Context, d time.Duration) {
--- a/agent/tree.go
+++ b/agent/tree.go
@@ -195,6 +195,9 @@
 	a.mu.Lock()
 	listedNodes := map[fleet.NodeID]bool{self: true}
 	for _, e := range update.Members {
+		if !a.acceptRecord(e.Record, from) {
+			continue
+		}
 		listedNodes[e.Record.Node] = true
 		if e.Record.Node == self {
 			listed, own = !e.Unlisted, append(own, e.Record)
@@ -206,6 +209,9 @@
 		}
 	}
 	for _, r := range update.Removed {
+		if !a.acceptRecord(r, from) {
+			continue
+		}
 		if r.Node == self {
 			listed, own = false, append(own, r)
 			continue
@@ -238,7 +244,7 @@
 	a.mu.Lock()
 	earlier, known := a.view.Last(hello.Child.Node)
 	a.mu.Unlock()
-	a.mergeRecords([]member.Record{hello.Child}, false)
+	a.mergePeerRecords([]member.Record{hello.Child}, r.RemoteAddr)
 	a.deps.Log.Info("child connected", "child", hello.Child.Node, "plan", hello.PlanVersion)
 	plan, revision, full := hello.PlanVersion, uint64(0), true
 	var planSent time.Time
--- a/member/record.go
+++ b/member/record.go
@@ -3,9 +3,12 @@
 import (
 	"cmp"
 	"fmt"
+	"net/netip"
+	"strings"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
+	"github.com/cockroachdb/errors"
 
 	"github.com/cassialead/cassialead/config"
 	"github.com/cassialead/cassialead/fleet"
@@ -40,6 +43,39 @@
 	return cmp.Or(cmp.Compare(r.Incarnation, o.Incarnation), cmp.Compare(r.Sequence, o.Sequence))
 }
 
+// ErrOutOfRange is returned for a record that no node publishes.
+var ErrOutOfRange = errors.New("member record out of range")
+
+const (
+	maxNumber    = 1 << 53   // of an incarnation, a sequence or a start time; the largest that all JSON readers keep exact
+	maxBandwidth = 1e13      // bits per second
+	maxWarmUp    = time.Hour // remaining warm-up time of a target
+)
+
+// MaxSlots is the largest number of slots that a target can have.
+const MaxSlots = 1 << 16
+
+// Validate returns ErrOutOfRange if a field has a value that no node publishes.
+func (r Record) Validate() error {
+	_, err := netip.ParseAddrPort(string(r.Address))
+	t := r.Target
+	switch {
+	case r.Node == "", r.Incarnation <= 0, r.Incarnation > maxNumber, r.Sequence > maxNumber:
+		return errors.Wrapf(ErrOutOfRange, "node %q, incarnation %d, sequence %d", r.Node, r.Incarnation, r.Sequence)
+	case err != nil, strings.HasSuffix(string(r.Address), ":0"):
+		return errors.Wrapf(ErrOutOfRange, "address %q", r.Address)
+	case !(r.LinkBandwidth >= 0 && r.LinkBandwidth <= maxBandwidth):
+		return errors.Wrapf(ErrOutOfRange, "link bandwidth %g", r.LinkBandwidth)
+	case t.StartTime < 0, t.StartTime > maxNumber, t.Slots < 0, t.Slots > MaxSlots, t.WarmUp < 0, t.WarmUp > maxWarmUp:
+		return errors.Wrapf(ErrOutOfRange, "target started at %d with %d slots, warm in %v", t.StartTime, t.Slots, t.WarmUp)
+	}
+	switch t.State {
+	case lifecycle.Unknown, lifecycle.Open, lifecycle.Down, lifecycle.Leaving:
+		return nil
+	}
+	return errors.Wrapf(ErrOutOfRange, "target state %q", t.State)
+}
+
 // AcceptsCalls reports whether the node has a target that accepts calls.
 func (r Record) AcceptsCalls() bool { return !r.Leaving && r.Target.State == lifecycle.Open }
 
