lifecycle, gate: a heartbeat of another writer changes nothing, and draining applies whatever its sequence

Cause: a heartbeat was attributed by its id alone. Ruled out: a replaced target and a reopened gate (no line 'target state changed' on the old sources).

Before: 'receives no call after its draining is acknowledged, although another writer ...' fails (10 calls of 10 reach the target). After: it passes.

--- a/agent/agent_test.go
+++ b/agent/agent_test.go
@@ -286,6 +286,26 @@
 		}
 		Expect(n.target.runs.Load()).To(Equal(runs))
 	})
+	// A heartbeat of another writer raised the target's sequence, and the target's own draining was acknowledged and ignored.
+	It("receives no call after its draining is acknowledged, although another writer has sent a heartbeat for it", func() {
+		for _, foreign := range []string{
+			`{"address":%q,"info":{"service":"unnamed","version":"v1","zone":"z","slots":9},"status":{"state":"ready","sequence":1000,"coldLeftS":0}}`,
+			`{"address":%q,"info":{"service":"stock","version":"v1","zone":"z","slots":9},"status":{"state":"ready","sequence":1000,"coldLeftS":0}}`,
+			`{"address":%q,"born":BORN,"info":{"service":"orders","version":"v1","zone":"z","slots":9},"status":{"state":"draining","sequence":1000,"coldLeftS":0}}`,
+			`{"address":%q,"born":BORN,"info":{"service":"stock","version":"v1","zone":"z","slots":9},"status":{"state":"ready","sequence":1000,"coldLeftS":0}}`,
+		} {
+			s := newCluster("stock", "orders")
+			n := s.nodes[0]
+			n.post("/api/Instances.Heartbeat/"+n.target.id, fmt.Sprintf(strings.ReplaceAll(foreign, "BORN", fmt.Sprint(n.target.startTime)), n.target.address))
+			Expect(s.nodes[1].status("/stock/1")()).To(Equal(200), "%s", foreign)
+			Expect(n.heartbeat("draining")).To(Equal(200))
+			n.target.runs.Store(0)
+			for range 10 {
+				s.nodes[1].call(http.MethodGet, "/stock/1", "")
+			}
+			Expect(n.target.runs.Load()).To(BeZero(), "%s", foreign)
+		}
+	})
 	It("receives no more calls from all nodes together than the rate limit that it names, while targets with room serve the rest", func() {
 		const perSecond, most, watched, interval = 5, 35, 4 * time.Second, 10 * time.Millisecond // most: one and a half times the limit in 4 s, and 5 more
 		s := newCluster("stock", "orders", "stock", "orders")
--- a/agent/serve.go
+++ b/agent/serve.go
@@ -154,7 +154,10 @@
 		w.WriteHeader(http.StatusBadRequest)
 		return
 	}
-	a.gate.HandleHeartbeat(h)
+	if !a.gate.HandleHeartbeat(h) {
+		w.WriteHeader(http.StatusBadRequest)
+		return
+	}
 	if h.Draining {
 		a.waitDepartureStored(id, "draining")
 	}
--- a/gate/gate.go
+++ b/gate/gate.go
@@ -101,8 +101,17 @@
 	}
 }
 
-// HandleHeartbeat applies a heartbeat of the target.
-func (g *Gate) HandleHeartbeat(h lifecycle.Heartbeat) {
+// HandleHeartbeat applies a heartbeat of the target. It returns false for one of another writer, which changes nothing: the
+// settings name the only service on this VM.
+func (g *Gate) HandleHeartbeat(h lifecycle.Heartbeat) bool {
+	g.mu.Lock()
+	foreign := h.Service != g.service || g.tracker.Contradicts(h)
+	g.mu.Unlock()
+	if foreign {
+		g.deps.Log.Warn("heartbeat of another writer refused", "instance", h.ID, "born", h.StartTime, "service", h.Service, "sequence", h.Sequence, "draining", h.Draining)
+		g.metrics.foreignHeartbeats.Inc()
+		return false
+	}
 	unconfirmed := false
 	g.transition("heartbeat", func(t *lifecycle.Tracker) (changed bool) {
 		changed, unconfirmed = t.HandleHeartbeat(h, g.deps.Now())
@@ -111,6 +120,7 @@
 	if unconfirmed {
 		g.startHealthCheck("first heartbeat")
 	}
+	return true
 }
 
 // Deregister marks the target as leaving; once it has returned, new calls are refused.
--- a/gate/metrics.go
+++ b/gate/metrics.go
@@ -15,6 +15,7 @@
 	checks             *metrics.Counter
 	connections        *metrics.Counter
 	staleResponses     *metrics.Counter
+	foreignHeartbeats  *metrics.Counter
 	sent               *metrics.Counter
 	retriesSent        *metrics.Counter
 	rateLimit          *metrics.Gauge // calls per second; -1 while the target names no limit
@@ -23,11 +24,12 @@
 func newGateMetrics(set *metrics.Set) *gateMetrics {
 	return &gateMetrics{set: set, waitTime: set.GetOrCreateHistogram("cassialead_gate_wait_seconds"),
 		holdTime: set.GetOrCreateHistogram("cassialead_gate_hold_seconds"), checks: set.GetOrCreateCounter("cassialead_gate_health_checks_total"),
-		connections:    set.GetOrCreateCounter("cassialead_gate_connections_total"),
-		staleResponses: set.GetOrCreateCounter("cassialead_gate_crossed_answers_total"),
-		sent:           set.GetOrCreateCounter(`cassialead_gate_sent_total{retry="false"}`),
-		retriesSent:    set.GetOrCreateCounter(`cassialead_gate_sent_total{retry="true"}`),
-		rateLimit:      newRateLimitGauge(set)}
+		connections:       set.GetOrCreateCounter("cassialead_gate_connections_total"),
+		staleResponses:    set.GetOrCreateCounter("cassialead_gate_crossed_answers_total"),
+		foreignHeartbeats: set.GetOrCreateCounter("cassialead_gate_foreign_heartbeats_total"),
+		sent:              set.GetOrCreateCounter(`cassialead_gate_sent_total{retry="false"}`),
+		retriesSent:       set.GetOrCreateCounter(`cassialead_gate_sent_total{retry="true"}`),
+		rateLimit:         newRateLimitGauge(set)}
 }
 
 func newRateLimitGauge(set *metrics.Set) *metrics.Gauge {
--- a/lifecycle/tracker.go
+++ b/lifecycle/tracker.go
@@ -68,6 +68,16 @@
 // Target returns the current target; its ID is empty if there is none.
 func (t *Tracker) Target() Target { return t.current }
 
+// Contradicts reports whether a heartbeat can't come from the target whose id it bears: that one has said more of itself, or
+// something else.
+func (t *Tracker) Contradicts(h Heartbeat) bool {
+	c := t.current
+	if c.ID != h.ID || c.State == Unknown {
+		return false
+	}
+	return c.StartTime != 0 && h.StartTime == 0 || c.SameStart(h.ID, h.StartTime) && c.Service != h.Service
+}
+
 // HandleHeartbeat applies a heartbeat. It reports whether the target changed and whether a health check has to confirm that it
 // is running: the first heartbeat that a restarted node receives may be a delayed one from a target that has already left.
 func (t *Tracker) HandleHeartbeat(h Heartbeat, now time.Time) (changed, unconfirmed bool) {
@@ -81,6 +91,9 @@
 		}
 		return t.replaceTarget(h, now)
 	}
+	if h.Draining {
+		return t.Deregister(h.ID, h.StartTime, now), false // holds for the whole start, whatever heartbeats have overtaken it
+	}
 	if h.Sequence <= t.current.sequence {
 		return false, false
 	}
@@ -96,15 +109,11 @@
 	if h.WarmUp > 0 {
 		t.current.WarmAt = now.Add(h.WarmUp)
 	}
-	switch {
-	case t.current.State == Leaving:
-	case h.Draining:
-		t.current.State = Leaving
-		t.departed.Add(h.ID, h.StartTime, now)
-	case t.current.State == Down, t.current.State == Unknown && !first:
+	if t.current.State == Down || t.current.State == Unknown && !first {
 		t.current.State = Open
 	}
-	return t.current.State != before.State || t.current.Slots != before.Slots || t.current.Address != before.Address || t.current.StartTime != before.StartTime, false
+	changed = t.current.State != before.State || t.current.Slots != before.Slots || t.current.Address != before.Address || t.current.StartTime != before.StartTime
+	return changed, false
 }
 
 // replaceTarget applies the first heartbeat of another target, or of another start of the same one.
--- a/lifecycle/tracker_test.go
+++ b/lifecycle/tracker_test.go
@@ -71,6 +71,8 @@
 		"a target replaced before its start time was known stays away":                          {[]any{healthy{"a"}, replaced{"a"}, ready("a", 1, 1), ready("a", 1, 2)}, "", lifecycle.Unknown},
 		"a start after a departure without a start time opens again":                            {[]any{healthy{"a"}, leaving{"a"}, ready("a", later, 1)}, "a", lifecycle.Open},
 		"a heartbeat of the start that left before its start time was known does not reopen it": {[]any{healthy{"a"}, leaving{"a"}, ready("a", 1, 1), ready("a", 1, 2)}, "a", lifecycle.Leaving},
+		"draining applies although a heartbeat of another writer has raised its sequence":       {[]any{healthy{"a"}, ready("a", 1, 1000), draining("a", 1, 3)}, "a", lifecycle.Leaving},
+		"draining of an earlier start does not apply":                                           {[]any{healthy{"a"}, ready("a", 2, 1), draining("a", 1, 3)}, "a", lifecycle.Open},
 		"a heartbeat after the health check keeps it open":                                      {[]any{healthy{"a"}, ready("a", 1, 3)}, "a", lifecycle.Open},
 	}
 	for name, c := range cases {
@@ -98,4 +100,28 @@
 			Expect(tracker.Target().State).To(Equal(c.state))
 		})
 	}
+	foreign := map[string]struct {
+		steps []lifecycle.Heartbeat
+		h     lifecycle.Heartbeat
+		want  bool
+	}{
+		"of the target itself":                      {[]lifecycle.Heartbeat{ready("a", 1, 1)}, ready("a", 1, 2), false},
+		"of another target":                         {[]lifecycle.Heartbeat{ready("a", 1, 1)}, ready("b", 0, 2), false},
+		"of a later start":                          {[]lifecycle.Heartbeat{ready("a", 1, 1)}, ready("a", 2, 1), false},
+		"without a start time while one is known":   {[]lifecycle.Heartbeat{ready("a", 1, 1)}, ready("a", 0, 1000), true},
+		"without a start time while none is known":  {nil, ready("a", 0, 1000), false},
+		"of another service":                        {[]lifecycle.Heartbeat{ready("a", 1, 1)}, lifecycle.Heartbeat{ID: "a", StartTime: 1, Sequence: 1000, Service: "orders"}, true},
+		"of another service for an unknown target":  {nil, lifecycle.Heartbeat{ID: "b", StartTime: 1, Sequence: 1, Service: "orders"}, false},
+		"of another service after the target's end": {[]lifecycle.Heartbeat{ready("a", 1, 1), draining("a", 1, 2)}, lifecycle.Heartbeat{ID: "a", StartTime: 1, Sequence: 3, Service: "orders"}, true},
+	}
+	for name, c := range foreign {
+		It("tells a heartbeat of another writer: "+name, func() {
+			tracker := lifecycle.NewTracker()
+			tracker.HandleHealthCheck("a", true, 9, "drafts", "192.0.2.1:80")
+			for _, h := range c.steps {
+				tracker.HandleHeartbeat(h, now)
+			}
+			Expect(tracker.Contradicts(c.h)).To(Equal(c.want))
+		})
+	}
 })
