lifecycle: an unconfirmed target is opened by a health check only

Cause: the first heartbeat after a restart asks for a health check, the second one opened the gate whatever the check had said. Ruled out: a wrong health check, and a departure that the new process was told of (neither line in the logs of the test).

--- a/agent/agent_test.go
+++ b/agent/agent_test.go
@@ -16,6 +16,7 @@
 	. "github.com/onsi/gomega"
 
 	"github.com/cassialead/cassialead/fleet"
+	"github.com/cassialead/cassialead/lifecycle"
 	"github.com/cassialead/cassialead/member"
 	"github.com/cassialead/cassialead/platform/standin"
 	"github.com/cassialead/cassialead/settings"
@@ -286,6 +287,30 @@
 		}
 		Expect(n.target.runs.Load()).To(Equal(runs))
 	})
+	// A restarted node took the second of two late heartbeats as evidence that a target that had left was open.
+	It("receives no call after late heartbeats that say it is open, while its health check says that it is not", func() {
+		s := newCluster("stock", "orders", "stock")
+		n := s.nodes[0]
+		n.stop()
+		Eventually(n.done).WithTimeout(waitTimeout).Should(BeClosed())
+		s.store.RemovePrefix("open/" + string(n.cfg.VM)) // no node of the region remembers the departure either
+		n.target.healthy.Store(false)
+		n.target.startTime++
+		n.target.runs.Store(0)
+		s.start(n)
+		Eventually(n.ready).WithTimeout(waitTimeout).Should(BeTrue())
+		for range 3 {
+			Expect(n.heartbeat("ready")).To(Equal(200))
+			time.Sleep(propagationTime / 2)
+			for range 10 {
+				s.nodes[1].call(http.MethodGet, "/stock/1", "")
+			}
+		}
+		Expect(n.target.runs.Load()).To(BeZero())
+		n.target.healthy.Store(true)
+		Expect(n.heartbeat("ready")).To(Equal(200))
+		Eventually(n.targetState).WithTimeout(waitTimeout).Should(Equal(lifecycle.Open))
+	})
 	// A heartbeat of another writer raised the target's sequence, and the target's own draining was acknowledged and ignored.
 	It("receives no call after its draining is acknowledged, although another writer has sent a heartbeat for it", func() {
 		for _, foreign := range []string{
--- a/gate/gate.go
+++ b/gate/gate.go
@@ -118,7 +118,7 @@
 		return changed
 	})
 	if unconfirmed {
-		g.startHealthCheck("first heartbeat")
+		g.startHealthCheck("unconfirmed heartbeat")
 	}
 	return true
 }
--- a/lifecycle/tracker.go
+++ b/lifecycle/tracker.go
@@ -79,7 +79,7 @@
 }
 
 // HandleHeartbeat applies a heartbeat. It reports whether the target changed and whether a health check has to confirm that it
-// is running: the first heartbeat that a restarted node receives may be a delayed one from a target that has already left.
+// is running: the heartbeats that a restarted node receives may be delayed ones from a target that has already left.
 func (t *Tracker) HandleHeartbeat(h Heartbeat, now time.Time) (changed, unconfirmed bool) {
 	if t.departed.Contains(h.ID, h.StartTime) {
 		return false, false
@@ -97,7 +97,6 @@
 	if h.Sequence <= t.current.sequence {
 		return false, false
 	}
-	first := t.current.sequence == 0
 	before := t.current
 	t.current.sequence, t.current.Address = h.Sequence, h.Address
 	if t.current.StartTime == 0 {
@@ -109,23 +108,23 @@
 	if h.WarmUp > 0 {
 		t.current.WarmAt = now.Add(h.WarmUp)
 	}
-	if t.current.State == Down || t.current.State == Unknown && !first {
+	if t.current.State == Down {
 		t.current.State = Open
 	}
 	changed = t.current.State != before.State || t.current.Slots != before.Slots || t.current.Address != before.Address || t.current.StartTime != before.StartTime
-	return changed, false
+	return changed, t.current.State == Unknown
 }
 
 // replaceTarget applies the first heartbeat of another target, or of another start of the same one.
 func (t *Tracker) replaceTarget(h Heartbeat, now time.Time) (changed, unconfirmed bool) {
-	replaces := t.current.ID != ""
+	replaces := t.current.ID != "" && t.current.State != Unknown
 	t.current = Target{ID: h.ID, StartTime: h.StartTime, Service: h.Service, Address: h.Address, Slots: h.Slots, sequence: h.Sequence, WarmAt: now.Add(h.WarmUp)}
 	switch {
 	case h.Draining:
 		t.current.State = Leaving
 		t.departed.Add(h.ID, h.StartTime, now)
 	case replaces:
-		// It started after the target that this process has observed, so the heartbeat can't be a delayed one from before that.
+		// It started after the target that this process has observed running, so the heartbeat can't be a delayed one from before that.
 		t.current.State = Open
 	default:
 		return true, true
