agent: a node whose entry was lost writes its record as a newer one

Cause: the node wrote the same record again, and nodes that had removed it reject what they knew of it. Ruled out: an entry that is not written again, and load figures of before.

--- a/agent/agent_test.go
+++ b/agent/agent_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"encoding/json"
 	"fmt"
 	"io"
 	"net"
@@ -167,6 +168,21 @@
 			Eventually(n.status("/new/1")).WithTimeout(3 * time.Second).Should(Equal(200))
 		}
 	})
+	// A node that others had removed meanwhile stayed unknown to them, as they reject what they know of a removed node.
+	It("rewrite revoked entries as newer ones than before", func() {
+		s := newCluster("stock", "orders")
+		stored := func(n *node) (r member.Record) {
+			v, _ := s.store.Get("open/" + string(n.cfg.VM))
+			_ = json.Unmarshal(v, &r)
+			return r
+		}
+		for _, n := range s.nodes {
+			before := stored(n)
+			s.store.RemovePrefix("open/" + string(n.cfg.VM))
+			Eventually(func() fleet.Sequence { return stored(n).Sequence }).WithTimeout(3 * time.Second).Should(BeNumerically(">", before.Sequence))
+			Expect(stored(n).Incarnation).To(Equal(before.Incarnation))
+		}
+	})
 	It("rewrite revoked entries and keep serving meanwhile", func() {
 		s := newCluster("stock", "orders", "stock")
 		s.store.RemovePrefix("open/")
--- a/agent/registrar.go
+++ b/agent/registrar.go
@@ -262,7 +262,7 @@
 	survived := err == nil && r.revisionKnown && i.Revision == r.revision && i.Lease == r.lease
 	switch {
 	case errors.Is(err, store.ErrNotFound):
-		r.revision, r.revisionKnown = 0, true
+		r.reissue()
 	case err != nil:
 		return err
 	default:
@@ -333,7 +333,7 @@
 		i, err := r.agent.deps.Store.Read(ctx, platform.MemberKey(r.record.Node))
 		switch {
 		case errors.Is(err, store.ErrNotFound):
-			r.revision, r.revisionKnown = 0, true
+			r.reissue()
 		case err != nil:
 			return err
 		default:
@@ -371,6 +371,21 @@
 	return err
 }
 
+// reissue prepares the record to be written where the store has no entry. If it had one before, other nodes may have removed this
+// one and reject what they knew of it, so the record gets a new sequence.
+func (r *registrar) reissue() {
+	r.revision, r.revisionKnown = 0, true
+	r.mu.Lock()
+	lost := !r.storedAt.IsZero()
+	if lost {
+		r.record.Sequence++
+	}
+	r.mu.Unlock()
+	if lost {
+		r.agent.mergeRecords([]member.Record{r.current()}, false)
+	}
+}
+
 // markStoredAs marks the record as stored up to what the entry holds, if this process has written it.
 func (r *registrar) markStoredAs(i store.Item) {
 	var stored member.Record
