platform, agent: a node reads the newest state where the changes since are too long to read

Cause: the watch brings each version whole; its answer was cut at 8 MiB, could not be decoded, counted as an absent store and was asked for again. Ruled out: a deadline (the old client reports 'decode response of 8388608 bytes'), versions refused (no such line).

Before: both cases of 'a node that has missed more versions ...' fail. After: they pass.

--- a/agent/staleness.go
+++ b/agent/staleness.go
@@ -26,12 +26,13 @@
 	watch     time.Duration // of one watch by a head
 	headStale time.Duration // age from which a head counts as disconnected from the store
 	stale     time.Duration // age from which any node counts as disconnected from the store
+	history   time.Duration // age from which a head reads the newest state in place of the changes since
 	latest    time.Duration // age at which a node at the greatest depth reads the store
 }
 
 // newSyncTimes returns the times for a bound on the age of the state in force.
 func newSyncTimes(apply time.Duration) syncTimes {
-	t := syncTimes{latest: max(apply-readReserve, apply/2)}
+	t := syncTimes{latest: max(apply-readReserve, apply/2), history: apply + apply/2}
 	t.watch = min(max(t.latest-maxTreeDepth*keepaliveInterval-watchInterval-ageSlack, minWatch), maxWatch)
 	t.headStale = t.watch + watchInterval + 2*keepaliveInterval + headStaleSlack
 	t.stale = t.watch + watchInterval + maxTreeDepth*keepaliveInterval + staleSlack
--- a/agent/staleness_test.go
+++ b/agent/staleness_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"strings"
 	"time"
 
 	. "github.com/onsi/ginkgo/v2"
@@ -19,6 +20,7 @@
 	changeTime  = 2 * time.Second       // for a change to be in force on the nodes that the store serves
 	changeDelay = 50 * time.Millisecond // after the store has turned nodes away
 	versionPoll = 20 * time.Millisecond
+	contactTime = 3 * time.Second // after which a node that reaches the store has to follow changes again
 )
 
 // twoCentres moves every other node into a second data centre, so that each has a head, its children and a deeper position.
@@ -88,6 +90,28 @@
 	}
 })
 
+// A node asked again and again for changes that it could not read, and used an old version until the store had dropped them.
+var _ = Describe("a node that has missed more versions than it reads in one answer", func() {
+	const versions, bytes = 24, 400 << 10
+	for name, away := range map[string]time.Duration{"in a short absence": time.Second, "in a long absence": 4 * time.Second} {
+		It("has a change in force in time after them: "+name, func() {
+			s := newCluster("stock")
+			n := s.nodes[0]
+			s.store.SetFaults(standin.Faults{NoResponse: true})
+			end := time.Now().Add(away)
+			long := []byte(`{"filler":"` + strings.Repeat("x", bytes) + `",`)
+			for v := 2; v < 2+versions; v++ {
+				s.store.Put("op/config", append(long[:len(long):len(long)], plan(v, "/stock/", "stock")[1:]...))
+			}
+			time.Sleep(time.Until(end))
+			s.store.SetFaults(standin.Faults{})
+			time.Sleep(contactTime)
+			s.store.Put("op/config", plan(100, "/stock/", "stock"))
+			Eventually(n.version).WithTimeout(changeTime).WithPolling(versionPoll).Should(Equal(100))
+		})
+	}
+})
+
 var _ = Describe("an update to a child", func() {
 	// A child that took the age of such an update for that of its own state did not look for the version that it lacked.
 	It("says so if a newer configuration is left out of it", func() {
--- a/agent/sync.go
+++ b/agent/sync.go
@@ -151,17 +151,17 @@
 }
 
 // syncFromStore lists the whole state or waits for changes after the last applied position. A watch delivers every
-// configuration of a burst although only the last one is needed, so the state is listed instead until the burst ends. The caller
-// holds syncMu.
+// configuration of a burst although only the last one is needed, so the state is listed instead until the burst ends, and by a
+// head that has missed changes for long. The caller holds syncMu.
 func (a *Agent) syncFromStore(ctx context.Context, wait time.Duration) error {
 	after := *a.position.Load()
-	if after.Revision == 0 || a.bootstrapping() {
+	if after.Revision == 0 || a.bootstrapping() || wait > 0 && a.storeAge() >= a.times.history {
 		return a.syncFromList(ctx)
 	}
 	contact := a.deps.Now()
 	asOf, plans, err := a.watchStore(ctx, after, wait)
 	switch {
-	case errors.Is(err, store.ErrCompacted), errors.Is(err, store.ErrReturned):
+	case errors.Is(err, store.ErrCompacted), errors.Is(err, store.ErrReturned), errors.Is(err, store.ErrTooLong):
 		a.deps.Log.Info("changes unavailable, full state will be listed", "era", after.Era, "after", after.Revision, "error", err)
 		a.position.Store(&store.Position{})
 		return a.syncFromList(ctx)
--- a/store/transactional.go
+++ b/store/transactional.go
@@ -55,6 +55,10 @@
 // ErrCompacted means that the requested revisions have been compacted; the caller has to read the range again.
 var ErrCompacted = errors.New("store revisions have been compacted")
 
+// ErrTooLong means that the changes since a position exceed what a client reads or receives in time; the caller has to read the
+// range instead, whose pages are bounded.
+var ErrTooLong = errors.New("store response is too long")
+
 // ErrReturned means that the store has returned from an older copy since the position; the caller has to read the range again.
 var ErrReturned = errors.New("store has returned from an older copy")
 
