--- a/soak/checker.go
+++ b/soak/checker.go
@@ -23,6 +23,8 @@
 	Recovery           Invariant = "recovery"          // calls are not served, or the latest version is not active, after all faults have ended
 	RateLimited        Invariant = "rate limit"        // a target got more calls than the rate limit allows that it had named
 	AnnouncedLeaving   Invariant = "announced leaving" // a target got a call from a VM later than the drain period after that VM's node had passed on its leaving
+	VersionInTime      Invariant = "version in time"   // a node that the store serves lacks a version later than the time for a change
+	ForeignWriter      Invariant = "one writer"        // a node acknowledged a heartbeat of another writer
 	CallerService      Invariant = "caller's service"  // a target received a call with a service name other than that of the caller's VM
 )
 
--- a/soak/event.go
+++ b/soak/event.go
@@ -1,9 +1,11 @@
 package soak
 
 import (
+	"cmp"
 	"fmt"
 	"math/rand/v2"
 	"net/http"
+	"slices"
 	"time"
 
 	"github.com/cassialead/cassialead/hop"
@@ -161,11 +163,14 @@
 			at += time.Duration(rng.ExpFloat64() * float64(meanInterval))
 		}
 	}
+	steps = append(steps, writerSteps(seed, nodes, length)...)
+	slices.SortStableFunc(steps, func(a, b Step) int { return cmp.Compare(a.At, b.At) })
+	last := steps[len(steps)-1].At
 	if rng.IntN(2) == 0 {
 		// No version follows that would hide one that a node has missed.
-		steps = append(steps, Step{max(length, steps[len(steps)-1].At), randomReturn(rng)})
+		return append(steps, Step{max(length, last), randomReturn(rng)})
 	}
-	return steps
+	return append(steps, Step{last + quietPause, randomTurnAway(rng, nodes)}) // no other fault overlaps
 }
 
 // randomEvent returns a random event.
--- a/soak/fleet.go
+++ b/soak/fleet.go
@@ -6,6 +6,7 @@
 	"io"
 	"net"
 	"os"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"syscall"
@@ -126,16 +127,25 @@
 }
 
 // writePlan writes the next configuration to the store.
-func (f *Fleet) writePlan() {
+func (f *Fleet) writePlan() { f.putPlan(f.nextVersion()) }
+
+func (f *Fleet) nextVersion() config.Version {
 	f.mu.Lock()
+	defer f.mu.Unlock()
 	f.version++
-	n := f.version
-	f.mu.Unlock()
-	f.putPlan(n)
+	return f.version
 }
 
 // putPlan writes a version of the configuration to the store; each version adds a route that identifies it.
-func (f *Fleet) putPlan(n config.Version) {
+func (f *Fleet) putPlan(n config.Version) { f.store.Put(string(platform.PlanKey), formatPlan(n)) }
+
+// putLongPlan writes a version of the configuration with a filler that nodes ignore.
+func (f *Fleet) putLongPlan(n config.Version) {
+	filler := `{"filler":"` + strings.Repeat("x", fillerBytes) + `",`
+	f.store.Put(string(platform.PlanKey), append([]byte(filler), formatPlan(n)[1:]...))
+}
+
+func formatPlan(n config.Version) []byte {
 	rule := func(name, prefix string, semantics config.Semantics, s config.ServiceName) config.Rule {
 		return config.Rule{Name: config.RouteName(name), Host: soakHost, Prefix: prefix, Semantics: semantics, Timeout: routeTimeout, LatencyObjective: latencyObjective, MaxAttempts: 2,
 			WeightedServices: []config.WeightedService{{Service: s, Weight: 1}}}
@@ -149,7 +159,7 @@
 	for v := config.Version(1); v <= n; v++ {
 		rules = append(rules, rule(fmt.Sprintf("version-%d", v), versionPrefix(v), config.Idempotent, services[0]))
 	}
-	f.store.Put(string(platform.PlanKey), platform.FormatPlan(n, planServices, rules))
+	return platform.FormatPlan(n, planServices, rules)
 }
 
 func versionPrefix(v config.Version) string { return fmt.Sprintf("/version-%d/", v) }
@@ -247,6 +257,8 @@
 			f.writePlan()
 			sleep(ctx, e.Interval)
 		}
+	default:
+		return f.applyWriter(ctx, e)
 	}
 	return nil
 }
--- a/soak/vm.go
+++ b/soak/vm.go
@@ -39,6 +39,7 @@
 	mu           sync.Mutex
 	process      *os.Process
 	starts       int
+	startedAt    time.Time
 	gracefulStop bool // the last signal was SIGTERM and followed a quiet period
 	closed       bool
 	target       *Target
@@ -69,6 +70,7 @@
 	exited := make(chan struct{})
 	v.process, v.gracefulStop, v.exited = cmd.Process, false, exited
 	v.starts++
+	v.startedAt = time.Now()
 	go func() {
 		_ = cmd.Wait() // a killed process returns an error
 		close(exited)
@@ -106,6 +108,13 @@
 	return v.starts
 }
 
+// runningFor reports whether the current process was started at least d ago.
+func (v *VM) runningFor(d time.Duration) bool {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	return time.Since(v.startedAt) >= d
+}
+
 // close kills the process without a restart, waits for its exit and closes the proxies.
 func (v *VM) close() {
 	v.mu.Lock()
