--- a/agent/agent_test.go
+++ b/agent/agent_test.go
@@ -32,7 +32,7 @@
 		Expect(h.Get("Response-Signature")).To(Equal("s"))
 		Expect(s.nodes[1].status("/nowhere/")()).To(Equal(404))
 	})
-	It("receive changes in time while the store refuses calls of one or both heads", Label("known-red"), func() {
+	It("receive changes in time while the store refuses calls of one or both heads", func() {
 		const maxDelay, interval = 1500 * time.Millisecond, 100 * time.Millisecond // half a second of the two seconds for a change is reserved for narrow links
 		s := newClusterWith(func(cfg *settings.Agent) {
 			if cfg.VM == "vm-2" || cfg.VM == "vm-3" {
