--- a/agent/staleness.go
+++ b/agent/staleness.go
@@ -9,15 +9,15 @@
 )
 
 const (
-	maxTreeDepth     = 3                      // of a node in a region of the largest size planned for
-	ageCheckInterval = 50 * time.Millisecond  // between two checks of the state's age
-	readReserve      = 350 * time.Millisecond // for a check, a read of the store and applying the changes
-	ageSlack         = 250 * time.Millisecond // between the usual age of a node's state and a read of the store
-	staleSlack       = 200 * time.Millisecond // between the usual age of a node's state and leaving its parent
-	headStaleSlack   = 50 * time.Millisecond  // between the usual age of the other head's state and stepping down
-	minWatch         = 200 * time.Millisecond // of one watch
-	maxWatch         = time.Second            // of one watch; short, so that a watch that no longer delivers anything is soon replaced
-	directReadShare  = 2 * time.Millisecond   // pause between direct reads for each known node, to limit the reads of all nodes while the store is away
+	maxTreeDepth      = 3                      // of a node in a region of the largest size planned for
+	ageCheckInterval  = 50 * time.Millisecond  // between two checks of the state's age
+	readReserve       = 350 * time.Millisecond // for a check, a read of the store and applying the changes
+	ageSlack          = 250 * time.Millisecond // between the usual age of a node's state and a read of the store
+	staleSlack        = 200 * time.Millisecond // between the usual age of a node's state and leaving its parent
+	headStaleSlack    = 50 * time.Millisecond  // between the usual age of the other head's state and stepping down
+	minWatch          = 200 * time.Millisecond // of one watch
+	maxWatch          = time.Second            // of one watch; short, so that a watch that no longer delivers anything is soon replaced
+	directReadSpacing = 2 * time.Millisecond   // between the direct reads of any two nodes while the store is away
 )
 
 // syncTimes are the times that follow from the time within which a change has to be in force. A node's state is as old as its
@@ -76,7 +76,7 @@
 			continue
 		}
 		retryAt = now.Add(backoff/2 + rand.N(backoff))
-		backoff = min(2*backoff, max(maxBackoff, time.Duration(a.memberCount())*directReadShare))
+		backoff = min(2*backoff, max(maxBackoff, time.Duration(a.memberCount())*directReadSpacing))
 	}
 }
 
@@ -85,6 +85,7 @@
 	return a.storeContact.Load() < 0 && now.Sub(a.startedAt) < bootstrapTime
 }
 
+// directReadOutcome returns the label of a direct read's outcome.
 func directReadOutcome(err error) string {
 	if err != nil {
 		return "failed"
--- a/agent/tree.go
+++ b/agent/tree.go
@@ -130,8 +130,7 @@
 }
 
 // recordParentContact records the store contact that a parent or the other head reports on a connection whose first update was
-// full. The contact vouches for the state in
-// force here only if the update leaves nothing out.
+// full. The contact vouches for the state in force here only if the update leaves nothing out.
 func (a *Agent) recordParentContact(update feed.Update, now time.Time) {
 	if update.Incomplete {
 		return
