--- a/agent/agent_test.go
+++ b/agent/agent_test.go
@@ -7,7 +7,6 @@
 	"io"
 	"net"
 	"net/http"
-	"strconv"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -17,7 +16,6 @@
 	. "github.com/onsi/gomega"
 
 	"github.com/cassialead/cassialead/fleet"
-	"github.com/cassialead/cassialead/lifecycle"
 	"github.com/cassialead/cassialead/member"
 	"github.com/cassialead/cassialead/platform/standin"
 	"github.com/cassialead/cassialead/settings"
@@ -199,73 +197,6 @@
 	})
 })
 
-// Nodes ended or no longer followed the list of nodes because of one odd entry in it.
-var _ = Describe("agents with an odd entry of another writer among those of the nodes", func() {
-	const entry = `{"node":"NODE","inc":1,"seq":1,"dc":"costa-norte","region":"costa","addr":"127.0.0.1:9","link":7,"target":{"id":"i-9","born":1,"service":"stock","slots":9,"state":"open","cold":1}}`
-	entries := map[string]struct{ old, replacement string }{
-		"that is deeply nested":            {entry, strings.Repeat(`{"node":`, 100_000)},
-		"that is a deeply nested list":     {`7`, strings.Repeat("[", 100_000)},
-		"whose incarnation is too large":   {`"inc":1`, `"inc":9223372036854775807`},
-		"whose incarnation doesn't fit":    {`"inc":1`, `"inc":1e400`},
-		"whose sequence is too large":      {`"seq":1`, `"seq":18446744073709551615`},
-		"whose port is out of range":       {`127.0.0.1:9`, `127.0.0.1:70000`},
-		"whose address is a name":          {`127.0.0.1:9`, `elsewhere:9`},
-		"whose link is too wide":           {`"link":7`, `"link":1e300`},
-		"whose slots are too many":         {`"slots":9`, `"slots":9223372036854775807`},
-		"whose slots are negative":         {`"slots":9`, `"slots":-9`},
-		"whose warm-up is too long":        {`"cold":1`, `"cold":9223372036854775807`},
-		"whose state is unknown":           {`"open"`, `"asleep"`},
-		"whose start time is out of range": {`"born":1`, `"born":-1`},
-		"that has a field of another type": {`"costa"`, `[]`},
-		"that names another node":          {`"NODE"`, `"vm-1"`},
-	}
-	odd := func(name, node string) []byte {
-		c := entries[name]
-		return []byte(strings.ReplaceAll(strings.Replace(entry, c.old, c.replacement, 1), "NODE", node))
-	}
-	It("follow the list and changes", func() {
-		s := newCluster("stock", "orders")
-		version := 1
-		for name := range entries {
-			for _, node := range []string{"vm-9", "vm-0"} { // one that does not exist, and a living one
-				s.store.Put("open/"+node, odd(name, node))
-				version++
-				s.store.Put("op/config", plan(version, "/stock/", "stock"))
-				for _, n := range s.nodes {
-					Eventually(n.version).WithTimeout(changeTime).Should(Equal(version), "%s with an entry %s", n.cfg.VM, name)
-				}
-			}
-			Consistently(func() []int {
-				return []int{s.nodes[0].status("/stock/1")(), s.nodes[1].status("/stock/1")(), s.nodes[0].status("/orders/1")()}
-			}).WithTimeout(200*time.Millisecond).Should(HaveEach(200), "with an entry "+name)
-		}
-	})
-	It("follow the list and changes if another node sends it", func() {
-		s := newCluster("stock", "orders")
-		for _, name := range []string{"whose incarnation is too large", "whose slots are too many", "whose port is out of range"} {
-			for _, n := range s.nodes {
-				resp, err := http.Post("http://"+string(n.cfg.LinkAddress)+"/cassialead/view", "application/json",
-					strings.NewReader(fmt.Sprintf(`{"records":[%s,%s]}`, odd(name, "vm-0"), odd(name, "vm-9"))))
-				Expect(err).NotTo(HaveOccurred())
-				Expect(resp.Body.Close()).To(Succeed())
-			}
-			Consistently(s.nodes[1].status("/stock/1")).WithTimeout(200*time.Millisecond).Should(Equal(200), name)
-		}
-	})
-	for _, name := range []string{"that is deeply nested", "whose incarnation is too large", "whose port is out of range"} {
-		It("start again with one "+name+" in their place", func() {
-			s := newCluster("stock", "orders")
-			n := s.nodes[0]
-			n.stop()
-			Eventually(n.done).WithTimeout(waitTimeout).Should(BeClosed())
-			s.store.Put("open/vm-0", odd(name, "vm-0"))
-			s.start(n)
-			Eventually(n.ready).WithTimeout(waitTimeout).Should(BeTrue())
-			Eventually(func() int { n.heartbeat("ready"); return s.nodes[1].status("/stock/1")() }).WithTimeout(waitTimeout).Should(Equal(200))
-		})
-	}
-})
-
 // heads returns the nodes that watch the store.
 func (s *cluster) heads() map[string]bool {
 	var members []member.Member
@@ -281,196 +212,9 @@
 	return heads
 }
 
-var _ = Describe("the target beside a node", func() {
-	It("receives no call after its departure is acknowledged, even from a restarted node or after a late heartbeat", func() {
-		s := newCluster("stock", "orders", "stock")
-		n := s.nodes[0]
-		Expect(n.heartbeat("draining")).To(Equal(200))
-		runs := n.target.runs.Load()
-		for range 20 {
-			s.nodes[1].call(http.MethodGet, "/stock/1", "")
-		}
-		Expect(n.target.runs.Load()).To(Equal(runs))
-		n.stop()
-		<-n.done
-		n.target.sequence.Store(0) // heartbeats from before the departure
-		s.start(n)
-		Eventually(n.ready).WithTimeout(waitTimeout).Should(BeTrue())
-		n.heartbeat("ready")
-		n.heartbeat("ready")
-		for range 20 {
-			s.nodes[1].call(http.MethodGet, "/stock/1", "")
-		}
-		Expect(n.target.runs.Load()).To(Equal(runs))
-	})
-	// A restarted node took the second of two late heartbeats as evidence that a target that had left was open.
-	It("receives no call after late heartbeats that say it is open, while its health check says that it is not", func() {
-		s := newCluster("stock", "orders", "stock")
-		n := s.nodes[0]
-		n.stop()
-		Eventually(n.done).WithTimeout(waitTimeout).Should(BeClosed())
-		s.store.RemovePrefix("open/" + string(n.cfg.VM)) // no node of the region remembers the departure either
-		n.target.healthy.Store(false)
-		n.target.startTime++
-		n.target.runs.Store(0)
-		s.start(n)
-		Eventually(n.ready).WithTimeout(waitTimeout).Should(BeTrue())
-		for range 3 {
-			Expect(n.heartbeat("ready")).To(Equal(200))
-			time.Sleep(propagationTime / 2)
-			for range 10 {
-				s.nodes[1].call(http.MethodGet, "/stock/1", "")
-			}
-		}
-		Expect(n.target.runs.Load()).To(BeZero())
-		n.target.healthy.Store(true)
-		Expect(n.heartbeat("ready")).To(Equal(200))
-		Eventually(n.targetState).WithTimeout(waitTimeout).Should(Equal(lifecycle.Open))
-	})
-	// A heartbeat of another writer raised the target's sequence, and the target's own draining was acknowledged and ignored.
-	It("receives no call after its draining is acknowledged, although another writer has sent a heartbeat for it", func() {
-		for _, foreign := range []string{
-			`{"address":%q,"info":{"service":"unnamed","version":"v1","zone":"z","slots":9},"status":{"state":"ready","sequence":1000,"coldLeftS":0}}`,
-			`{"address":%q,"info":{"service":"stock","version":"v1","zone":"z","slots":9},"status":{"state":"ready","sequence":1000,"coldLeftS":0}}`,
-			`{"address":%q,"born":BORN,"info":{"service":"orders","version":"v1","zone":"z","slots":9},"status":{"state":"draining","sequence":1000,"coldLeftS":0}}`,
-			`{"address":%q,"born":BORN,"info":{"service":"stock","version":"v1","zone":"z","slots":9},"status":{"state":"ready","sequence":1000,"coldLeftS":0}}`,
-		} {
-			s := newCluster("stock", "orders")
-			n := s.nodes[0]
-			n.post("/api/Instances.Heartbeat/"+n.target.id, fmt.Sprintf(strings.ReplaceAll(foreign, "BORN", fmt.Sprint(n.target.startTime)), n.target.address))
-			Expect(s.nodes[1].status("/stock/1")()).To(Equal(200), "%s", foreign)
-			Expect(n.heartbeat("draining")).To(Equal(200))
-			n.target.runs.Store(0)
-			for range 10 {
-				s.nodes[1].call(http.MethodGet, "/stock/1", "")
-			}
-			Expect(n.target.runs.Load()).To(BeZero(), "%s", foreign)
-		}
-	})
-	It("receives no more calls from all nodes together than the rate limit that it names, while targets with room serve the rest", func() {
-		const perSecond, most, watched, interval = 5, 35, 4 * time.Second, 10 * time.Millisecond // most: one and a half times the limit in 4 s, and 5 more
-		s := newCluster("stock", "orders", "stock", "orders")
-		n := s.nodes[0]
-		n.target.fault.Store(func(w http.ResponseWriter, _ *http.Request) bool {
-			w.Header().Set("Server-Limit", strconv.Itoa(perSecond))
-			return false
-		})
-		Eventually(func() int64 {
-			s.nodes[1].call(http.MethodGet, "/stock/1", "")
-			return n.target.runs.Load()
-		}).WithTimeout(waitTimeout).Should(BeNumerically(">", 0))
-		before := n.target.runs.Load()
-		var wg sync.WaitGroup
-		var calls, served atomic.Int64
-		for begun := time.Now(); time.Since(begun) < watched; time.Sleep(interval) {
-			wg.Go(func() {
-				defer GinkgoRecover()
-				if s.nodes[calls.Add(1)%int64(len(s.nodes))].status("/stock/1")() == 200 {
-					served.Add(1)
-				}
-			})
-		}
-		wg.Wait()
-		Expect(n.target.runs.Load() - before).To(BeNumerically("<=", most))
-		Expect(served.Load()).To(Equal(calls.Load()), "the other target has room for all")
-	})
-	It("receives no call from a node that passed on its leaving, although its own node restarts without the store", func() {
-		s := newCluster("stock", "orders", "stock")
-		n := s.nodes[0]
-		n.target.fault.Store(func(w http.ResponseWriter, _ *http.Request) bool {
-			w.Header().Set("Server-Leaving", "1")
-			return false
-		})
-		s.store.SetFaults(standin.Faults{Status: 503})
-		callManyAtOnce := func() { // so that no target is preferred
-			var wg sync.WaitGroup
-			for range 40 {
-				wg.Go(func() {
-					defer GinkgoRecover()
-					s.nodes[1].call(http.MethodGet, "/stock/1", "")
-				})
-			}
-			wg.Wait()
-		}
-		callManyAtOnce()
-		runs := n.target.runs.Load()
-		Expect(runs).To(BeNumerically(">", 0), "the node has passed on an answer with the announcement")
-		n.stop()
-		<-n.done
-		s.start(n)
-		for range 4 {
-			n.heartbeat("ready")
-			time.Sleep(200 * time.Millisecond)
-		}
-		callManyAtOnce()
-		Expect(n.target.runs.Load()).To(Equal(runs))
-	})
-	It("is accepted by its heartbeat even if its node has just started", func() {
-		s := newCluster("stock", "orders")
-		n := s.nodes[0]
-		n.stop()
-		<-n.done
-		s.start(n)
-		Eventually(s.nodes[1].status("/stock/1")).WithTimeout(waitTimeout).Should(Equal(200))
-	})
-})
-
 // dropConnection closes the connection without an answer.
 func dropConnection(http.ResponseWriter, *http.Request) bool { panic(http.ErrAbortHandler) }
 
-// hijack takes over the connection of a request.
-func hijack(w http.ResponseWriter) (net.Conn, *bufio.ReadWriter) {
-	conn, buffered, err := w.(http.Hijacker).Hijack()
-	Expect(err).NotTo(HaveOccurred())
-	return conn, buffered
-}
-
-// Callers were told that an order had not run, and came back with it, while the target ran it.
-var _ = Describe("an order on a kept connection on which the target writes an earlier refusal once more", func() {
-	const copyDelay, runTime, poolTime = 50 * time.Millisecond, 300 * time.Millisecond, 1200 * time.Millisecond
-	for name, c := range map[string]struct {
-		id     bool // whether the refusal names its request
-		status int  // of the order
-	}{
-		"with its id":   {true, 200},
-		"without an id": {false, 502},
-	} {
-		It("is not answered by that refusal "+name, func() {
-			s := newCluster("orders", "stock")
-			time.Sleep(poolTime) // orders use no connection that has been idle for so long
-			target := s.nodes[0].target
-			var runs atomic.Int64
-			target.fault.Store(func(w http.ResponseWriter, r *http.Request) bool {
-				id := ""
-				if c.id {
-					id = "Request-Id: " + r.Header.Get("Request-Id") + "\r\n"
-				}
-				refusal := "HTTP/1.1 503 Service Unavailable\r\n" + id + "Not-Executed: 1\r\nContent-Length: 0\r\n\r\n"
-				conn, buffered := hijack(w)
-				go func() {
-					defer func() { _ = conn.Close() }()
-					_, _ = io.WriteString(conn, refusal)
-					order, err := http.ReadRequest(buffered.Reader)
-					if err != nil {
-						return
-					}
-					runs.Add(1)
-					time.Sleep(copyDelay)
-					_, _ = io.WriteString(conn, refusal)
-					time.Sleep(runTime)
-					_, _ = io.WriteString(conn, "HTTP/1.1 200 OK\r\nResponse-Signature: s\r\nContent-Length: 2\r\nRequest-Id: "+order.Header.Get("Request-Id")+"\r\n\r\nok")
-				}()
-				return true
-			})
-			status, _, _ := s.nodes[1].call(http.MethodPost, "/orders/1", "first")
-			Expect(status).To(Equal(503))
-			status, _, _ = s.nodes[1].call(http.MethodPost, "/orders/1", "second")
-			Expect(runs.Load()).To(Equal(int64(1)), "on the same connection")
-			Expect(status).To(Equal(c.status))
-		})
-	}
-})
-
 var _ = Describe("the answer to a caller", func() {
 	type fault = func(http.ResponseWriter, *http.Request) bool
 	unsigned := func(w http.ResponseWriter, _ *http.Request) bool { _, _ = io.WriteString(w, "x"); return true }
