review: show a node that never registers again after a restart without the store

A node that starts while the store turns it away and gets its members from another node never writes its entry again: its registration waits for a stale list that is read no more.

--- a/review/_standin-2/cases.go
+++ b/review/_standin-2/cases.go
@@ -10,6 +10,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/cassialead/cassialead/fleet"
 	"github.com/cassialead/cassialead/platform"
 )
 
@@ -279,3 +280,142 @@
 	w.rec.printf("served: drafts %.3f, orders %.3f, all %.3f", share(0), share(1), all)
 	return share(1) < all/4, nil
 }
+
+// promisesNotRun reports whether a status promises that a request has not run and never will.
+func promisesNotRun(status int) bool {
+	switch status {
+	case http.StatusTooManyRequests, http.StatusServiceUnavailable, http.StatusRequestTimeout, http.StatusMisdirectedRequest:
+		return true
+	}
+	return false
+}
+
+// greyCase: upstreams fail some requests, after having run them, with a 503 that doesn't say that they were not run.
+func greyCase(w *world, trouble bool) (bool, error) {
+	const timeout = 4 * time.Second
+	var faulty atomic.Bool
+	var ran sync.Map
+	orders := func(u *upstream, rw http.ResponseWriter, r *http.Request, id string) {
+		ran.Store(id, true)
+		if !work(r, 50*time.Millisecond) {
+			return
+		}
+		if faulty.Load() && rand.Float64() < 0.3 {
+			w.rec.printf("run ends  %s: 503 without %s", id, platform.NotExecutedHeader)
+			rw.WriteHeader(http.StatusServiceUnavailable)
+			return
+		}
+		signedOK(rw, r, 1500)
+	}
+	w.putConfig([]route{{"r-1", "/xapu221/ny95/", "unsafe", "orders", 2, 0.6, 1, 2}})
+	for i := range 3 {
+		if _, err := w.addMachine(fmt.Sprintf("sidecar-%d", i+1), "orders", "ishikari-a", "ishikari", 18, orders); err != nil {
+			return false, err
+		}
+	}
+	if err := w.waitReady(); err != nil {
+		return false, err
+	}
+	time.Sleep(settle)
+	faulty.Store(trouble)
+	var asked, refused, again atomic.Int64
+	every(50*time.Millisecond, 5*time.Second, func() {
+		m := w.machines[rand.IntN(len(w.machines))]
+		first := request(w.rec, m, http.MethodPost, "/xapu221/ny95/2f", "approve", timeout, timeout)
+		asked.Add(1)
+		if _, run := ran.Load(first.id); !run || !promisesNotRun(first.status) {
+			return
+		}
+		refused.Add(1)
+		// The client trusts the promise and asks again.
+		time.Sleep(first.retryAfter)
+		second := request(w.rec, m, http.MethodPost, "/xapu221/ny95/2f", "approve", timeout, timeout)
+		if _, run := ran.Load(second.id); run {
+			again.Add(1)
+			w.rec.printf("run twice %s, and again as %s after the promise that it had not run", first.id, second.id)
+		}
+	})
+	w.rec.printf("%d orders, %d answered with the promise that they had not run although they had, %d of these run again when the client asked again", asked.Load(), refused.Load(), again.Load())
+	return refused.Load() > 0, nil
+}
+
+// unlistedCase: the store turns one machine of five away and takes its key; meanwhile its node is killed and starts again. Later,
+// with the store serving all, that machine freezes for a moment.
+func unlistedCase(w *world, trouble bool) (bool, error) {
+	const (
+		timeout  = 3 * time.Second
+		length   = 105 * time.Second
+		pause    = 100 * time.Millisecond
+		away     = 9 * time.Second
+		killed   = time.Second // after the store has begun to turn the machine away
+		down     = 300 * time.Millisecond
+		between  = 4 * time.Second // from the store's serving it again to the freeze; it exceeds contactS
+		freeze   = 4 * time.Second
+		disturbs = 1 // index of the machine; it is none of the two heads of its region
+	)
+	answer := func(u *upstream, rw http.ResponseWriter, r *http.Request, id string) {
+		if work(r, 50*time.Millisecond) {
+			signedOK(rw, r, 1500)
+		}
+	}
+	w.putConfig([]route{{"r-1", "/lepu270/", "safe", "drafts", 1.5, 0.5, 2, 2}, {"r-2", "/xapu221/ny95/", "unsafe", "orders", 2, 0.6, 1, 2}})
+	for i := range 5 {
+		service := "drafts"
+		if i == disturbs {
+			service = "orders"
+		}
+		if _, err := w.addMachine(fmt.Sprintf("sidecar-%d", i+1), service, "ishikari-a", "ishikari", 18, answer); err != nil {
+			return false, err
+		}
+	}
+	if err := w.waitReady(); err != nil {
+		return false, err
+	}
+	time.Sleep(settle)
+	var served, asked [2]atomic.Int64
+	ask := func(kind int, method, path, body string) func() {
+		return func() {
+			res := request(w.rec, w.machines[2+rand.IntN(3)], method, path, body, timeout, timeout)
+			asked[kind].Add(1)
+			if res.status == http.StatusOK && res.whole && res.signed {
+				served[kind].Add(1)
+			}
+		}
+	}
+	var load sync.WaitGroup
+	load.Go(func() { every(pause, length, ask(0, http.MethodGet, "/lepu270/2f", "")) })
+	load.Go(func() { every(pause, length, ask(1, http.MethodPost, "/xapu221/ny95/2f", "approve")) })
+	m := w.machines[disturbs]
+	tell := func(what string) {
+		_, listed := w.store.Get(string(platform.MemberKey(fleet.NodeID(m.name))))
+		w.rec.printf("%s; so far served: drafts %d of %d, orders %d of %d; the store lists the machine: %v", what, served[0].Load(), asked[0].Load(), served[1].Load(), asked[1].Load(), listed)
+	}
+	if trouble {
+		tell("disruption: the store turns " + m.name + " away and takes its key")
+		m.storeLink.refuse(true)
+		w.store.RemovePrefix(string(platform.MemberKey(fleet.NodeID(m.name))))
+		time.Sleep(killed)
+		tell("disruption: its node is killed")
+		m.kill()
+		time.Sleep(down)
+		if err := m.startNode(w.program); err != nil {
+			return false, err
+		}
+		time.Sleep(away - killed - down)
+		m.storeLink.refuse(false)
+		tell("the store serves " + m.name + " again")
+		time.Sleep(between)
+		tell("disruption: " + m.name + " freezes")
+		m.pause(freeze)
+		tell(m.name + " wakes")
+		for range 8 {
+			time.Sleep(10 * time.Second)
+			tell("no disruption")
+		}
+	}
+	load.Wait()
+	share := func(kind int) float64 { return float64(served[kind].Load()) / float64(max(asked[kind].Load(), 1)) }
+	all := float64(served[0].Load()+served[1].Load()) / float64(max(asked[0].Load()+asked[1].Load(), 1))
+	w.rec.printf("served: drafts %.3f, orders %.3f, all %.3f", share(0), share(1), all)
+	return share(1) < all/4, nil
+}
--- a/review/_standin-2/main.go
+++ b/review/_standin-2/main.go
@@ -20,10 +20,12 @@
 
 // cases are the cases by name; each returns whether its rule was broken, or an error if it couldn't run.
 var cases = map[string]func(w *world, trouble bool) (bool, error){
-	"silent":  silentCase,
-	"endless": endlessCase,
-	"hung":    hungCase,
-	"foreign": foreignCase,
+	"silent":   silentCase,
+	"endless":  endlessCase,
+	"hung":     hungCase,
+	"foreign":  foreignCase,
+	"grey":     greyCase,
+	"unlisted": unlistedCase,
 }
 
 func main() {
--- a/review/_standin-2/proxy.go
+++ b/review/_standin-2/proxy.go
@@ -11,8 +11,9 @@
 	listener net.Listener
 	to       string
 
-	mu    sync.Mutex
-	pairs map[*pair]bool
+	mu       sync.Mutex
+	pairs    map[*pair]bool
+	refusing bool // connections are reset
 }
 
 // pair is a connection and its counterpart.
@@ -55,6 +56,12 @@
 	}
 	c := &pair{a: a, b: b, silent: make(chan struct{})}
 	p.mu.Lock()
+	if p.refusing {
+		p.mu.Unlock()
+		reset(a)
+		reset(b)
+		return
+	}
 	p.pairs[c] = true
 	p.mu.Unlock()
 	var both sync.WaitGroup
@@ -126,6 +133,20 @@
 	return len(p.pairs)
 }
 
+// refuse resets all open connections and, until it is called with false, all new ones.
+func (p *proxy) refuse(refusing bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.refusing = refusing
+	if !refusing {
+		return
+	}
+	for c := range p.pairs {
+		reset(c.a)
+		reset(c.b)
+	}
+}
+
 // close stops the proxy and closes all connections.
 func (p *proxy) close() {
 	_ = p.listener.Close()
--- a/review/_standin-2/world.go
+++ b/review/_standin-2/world.go
@@ -61,7 +61,9 @@
 	name, service, zone, region                                    string
 	outbound, inbound, advertised, ready, control, app, internalTo string
 	settings                                                       string
-	link                                                           *proxy
+	link                                                           *proxy // between other machines and the node
+	storeAddress                                                   string
+	storeLink                                                      *proxy // between the node and the store
 	upstream                                                       *upstream
 	cmd                                                            *exec.Cmd
 	log                                                            *os.File
@@ -84,8 +86,10 @@
 		if m.upstream != nil {
 			m.upstream.close()
 		}
-		if m.link != nil {
-			m.link.close()
+		for _, p := range []*proxy{m.link, m.storeLink} {
+			if p != nil {
+				p.close()
+			}
 		}
 	}
 	w.store.Close()
@@ -120,7 +124,7 @@
 // addMachine starts an upstream of a service and the node beside it.
 func (w *world) addMachine(name, service, zone, region string, slots int, answer answerFunc) (*machine, error) {
 	m := &machine{name: name, service: service, zone: zone, region: region}
-	for _, a := range []*string{&m.outbound, &m.inbound, &m.advertised, &m.ready, &m.control, &m.app, &m.internalTo} {
+	for _, a := range []*string{&m.outbound, &m.inbound, &m.advertised, &m.ready, &m.control, &m.app, &m.internalTo, &m.storeAddress} {
 		var err error
 		if *a, err = freeAddress(); err != nil {
 			return nil, err
@@ -133,8 +137,11 @@
 	if m.link, err = newProxy(m.advertised, m.inbound); err != nil {
 		return nil, err
 	}
+	if m.storeLink, err = newProxy(m.storeAddress, w.store.Address()); err != nil {
+		return nil, err
+	}
 	m.settings = filepath.Join(w.dir, name+".conf")
-	if err := os.WriteFile(m.settings, []byte(m.settingsText(w)), 0o600); err != nil {
+	if err := os.WriteFile(m.settings, []byte(m.settingsText()), 0o600); err != nil {
 		return nil, err
 	}
 	if m.log, err = os.Create(filepath.Join(w.dir, name+".log")); err != nil {
@@ -147,13 +154,13 @@
 	return m, err
 }
 
-func (m *machine) settingsText(w *world) string {
+func (m *machine) settingsText() string {
 	_, port, _ := net.SplitHostPort(m.internalTo)
 	lines := []string{"node=" + m.name, "role=node", "machineClass=sidecar", "serves=sidecar,control", "ip=" + ownIP(), "zone=" + m.zone, "region=" + m.region,
 		"listen.inbound=" + m.inbound, "listen.outbound=" + m.outbound, "listen.ready=" + m.ready, "listen.control=" + m.control, "advertised.inbound=" + m.advertised,
 		"internalPorts=" + previousPort(port) + "," + port, "seeds=", "bootstrap=true", "limits.cpuShare=0.32", "limits.cores=1", fmt.Sprintf("limits.memoryMb=%d", memoryMb), "limits.maxFds=4100",
 		fmt.Sprintf("limits.linkMbps=%d", linkMbps), "limits.diskMb=0", fmt.Sprintf("heartbeatS=%.2f", heartbeat.Seconds()), "bounds=" + bounds, "appAddr=" + m.app, "service=" + m.service,
-		"platform.address=" + w.store.Address(), "platform.form=kv", "platform.writesPerS=400", "platform.readsPerS=2000", "platform.historyS=20", "platform.valueBytes=1048576", "platform.ttlMinS=1"}
+		"platform.address=" + m.storeAddress, "platform.form=kv", "platform.writesPerS=400", "platform.readsPerS=2000", "platform.historyS=20", "platform.valueBytes=1048576", "platform.ttlMinS=1"}
 	return strings.Join(lines, "\n") + "\n"
 }
 
@@ -170,6 +177,13 @@
 	return m.cmd.Start()
 }
 
+// pause freezes the node's process for a time.
+func (m *machine) pause(d time.Duration) {
+	_ = m.cmd.Process.Signal(syscall.SIGSTOP)
+	time.Sleep(d)
+	_ = m.cmd.Process.Signal(syscall.SIGCONT)
+}
+
 func (m *machine) kill() {
 	if m.cmd == nil || m.cmd.Process == nil {
 		return
