--- a/review/_standin-2/cases.go
+++ b/review/_standin-2/cases.go
@@ -48,11 +48,12 @@
 	const timeout = 3 * time.Second
 	var faulty atomic.Bool
 	var endless sync.Map
+	spoils := map[string]bool{"i-sidecar-1": true, "i-sidecar-2": true, "i-sidecar-3": true}
 	orders := func(u *upstream, rw http.ResponseWriter, r *http.Request, id string) {
 		if !work(r, 50*time.Millisecond) {
 			return
 		}
-		if !faulty.Load() || rand.Float64() > 0.2 {
+		if !faulty.Load() || !spoils[u.id] || rand.Float64() > 0.03 {
 			signedOK(rw, r, 1500)
 			return
 		}
@@ -69,7 +70,7 @@
 		}
 	}
 	w.putConfig([]route{{"r-1", "/xapu221/ny95/", "unsafe", "orders", 2, 0.6, 1, 2}})
-	for i := range 3 {
+	for i := range 5 {
 		if _, err := w.addMachine(fmt.Sprintf("sidecar-%d", i+1), "orders", "ishikari-a", "ishikari", 18, orders); err != nil {
 			return false, err
 		}
@@ -80,7 +81,7 @@
 	time.Sleep(settle)
 	faulty.Store(trouble)
 	var looksWhole, ended, asked atomic.Int64
-	every(50*time.Millisecond, 5*time.Second, func() {
+	every(10*time.Millisecond, 5*time.Second, func() {
 		m := w.machines[rand.IntN(len(w.machines))]
 		res := request(w.rec, m, http.MethodPost, "/xapu221/ny95/2f", "approve", timeout, timeout)
 		asked.Add(1)
