--- a/review/_standin-2/cases.go
+++ b/review/_standin-2/cases.go
@@ -48,12 +48,11 @@
 	const timeout = 3 * time.Second
 	var faulty atomic.Bool
 	var endless sync.Map
-	spoils := map[string]bool{"i-sidecar-1": true, "i-sidecar-2": true, "i-sidecar-3": true}
 	orders := func(u *upstream, rw http.ResponseWriter, r *http.Request, id string) {
 		if !work(r, 50*time.Millisecond) {
 			return
 		}
-		if !faulty.Load() || !spoils[u.id] || rand.Float64() > 0.03 {
+		if !faulty.Load() || rand.Float64() > 0.03 {
 			signedOK(rw, r, 1500)
 			return
 		}
--- a/review/_standin-2/world.go
+++ b/review/_standin-2/world.go
@@ -218,24 +218,6 @@
 	return resp.StatusCode == http.StatusOK
 }
 
-// metric returns a line of the node's own metrics that begins with a name.
-func (m *machine) metric(name string) string {
-	c := http.Client{Timeout: time.Second, Transport: &http.Transport{DisableKeepAlives: true}}
-	resp, err := c.Get("http://" + m.internalTo + "/metrics")
-	if err != nil {
-		return "no metrics: " + err.Error()
-	}
-	defer func() { _ = resp.Body.Close() }()
-	b, _ := io.ReadAll(resp.Body)
-	var found []string
-	for line := range strings.Lines(string(b)) {
-		if strings.HasPrefix(line, name) {
-			found = append(found, strings.TrimSpace(line))
-		}
-	}
-	return strings.Join(found, "; ")
-}
-
 // route is a route of the operator's configuration.
 type route struct {
 	name, prefix, kind, service string
