gate: pass on a failure that is longer than the buffer whole, or break it off

Cause: a response read in part went the way of one read completely; only a signed one was streamed beyond the buffer. Ruled out: the read-ahead of the calling node (the cut also shows on the target's own VM), a length written by the HTTP server. The dialect now gives one verdict on a response, which holds for a whole one; unsigned failures are streamed and bounded, and a call that may run again is retried instead. A streamed server error that is given up leaves a trace, so that a later refusal does not say that the call never ran.

--- a/dispatch/delivery.go
+++ b/dispatch/delivery.go
@@ -99,7 +99,7 @@
 func (d *delivery) handleOutcome(ctx context.Context, p *Peer, o hop.Outcome, now time.Time) bool {
 	switch o := o.(type) {
 	case *hop.Answered:
-		if o.Status < http.StatusInternalServerError || !d.call.Idempotent || o.Remainder != nil {
+		if o.Status < http.StatusInternalServerError || !d.call.Idempotent {
 			return true
 		}
 		d.reached++
@@ -107,8 +107,7 @@
 		if !d.tryRetry(now) {
 			return true
 		}
-		o.Release()
-		d.errorAnswer = o
+		d.releaseError(o)
 		d.logNextAttempt(p, hop.TargetError)
 	case hop.Refused:
 		d.lastRefusal = o
@@ -147,6 +146,16 @@
 	return false
 }
 
+// releaseError ends the exchange of a target's server error and keeps the error for the case that no attempt succeeds.
+func (d *delivery) releaseError(o *hop.Answered) {
+	o.Release()
+	if o.Remainder != nil {
+		d.failureCause = hop.TargetError // the rest of its body is lost
+		return
+	}
+	d.errorAnswer = o
+}
+
 // criteria returns the properties of the call by which its target is chosen.
 func (d *delivery) criteria() criteria {
 	return criteria{bodyBytes: len(d.call.Body), answerBytes: d.dispatcher.sizes.of(d.rule.Name)}
--- a/dispatch/delivery_test.go
+++ b/dispatch/delivery_test.go
@@ -5,6 +5,7 @@
 	"io"
 	"log/slog"
 	"net/http"
+	"strings"
 	"sync"
 	"time"
 
@@ -50,6 +51,13 @@
 	}
 }
 
+// streamed returns an answer whose body is longer than what has been read of it.
+func streamed(status int) func(*hop.Call) hop.Outcome {
+	return func(*hop.Call) hop.Outcome {
+		return &hop.Answered{Status: status, Header: http.Header{}, Remainder: strings.NewReader("rest"), Length: -1, Load: load, Release: func() {}}
+	}
+}
+
 func refused(c hop.Cause) func(*hop.Call) hop.Outcome {
 	return func(*hop.Call) hop.Outcome { return hop.Refused{Cause: c, Load: load} }
 }
@@ -127,6 +135,8 @@
 		"an idempotent call is not retried beyond the attempts of its route":     {"/safe/", ampleBudget, outcomes{failed(hop.Broken), failed(hop.Broken), answered(200)}, 2, hop.Failed{Cause: hop.Broken, Load: load}},
 		"a call is not retried without retry budget":                             {"/safe/", 0, outcomes{failed(hop.Broken), answered(200)}, 1, hop.Failed{Cause: hop.Broken, Load: load}},
 		"a refusal after a broken attempt becomes a failure":                     {"/safe/", ampleBudget, outcomes{failed(hop.Broken), refused(hop.TooLate)}, 3, hop.Failed{Cause: hop.Broken}},
+		"a call is retried after a server error longer than a node buffers":      {"/safe/", ampleBudget, outcomes{streamed(500), answered(200)}, 2, nil},
+		"a refusal after a server error that was given up becomes a failure":     {"/safe/", ampleBudget, outcomes{streamed(500), refused(hop.TooLate)}, 3, hop.Failed{Cause: hop.TargetError}},
 		"an unacknowledged call is hedged":                                       {"/safe/", ampleBudget, outcomes{unacknowledged, answered(200)}, 2, nil},
 		"the answer of an unacknowledged attempt counts if the hedge is refused": {"/safe/", ampleBudget, outcomes{unacknowledged, refused(hop.TooLate)}, 2, nil},
 		"the answer of an unacknowledged attempt counts if the hedge fails":      {"/safe/", ampleBudget, outcomes{unacknowledged, failed(hop.Broken)}, 2, nil},
--- a/dispatch/hedge.go
+++ b/dispatch/hedge.go
@@ -106,10 +106,7 @@
 	switch o := o.(type) {
 	case *hop.Answered:
 		d.reached++
-		o.Release()
-		if o.Remainder == nil {
-			d.errorAnswer = o
-		}
+		d.releaseError(o)
 	case hop.Failed:
 		d.reached++
 		d.failureCause = o.Cause
--- a/exchange/conn.go
+++ b/exchange/conn.go
@@ -234,7 +234,7 @@
 // errResponseTooLong is returned for a response that exceeds its size limit.
 var errResponseTooLong = errors.New("response exceeds the size limit")
 
-// unbounded is the read limit for a body; its reader applies its own limit.
+// unbounded is the read limit for a body unless Bound sets one.
 const unbounded = 1<<63 - 1
 
 // boundedReader reads up to remaining bytes, then fails with errResponseTooLong.
@@ -355,6 +355,9 @@
 	return body, false, nil
 }
 
+// Bound limits the rest of the body to about this many bytes; reading fails beyond them.
+func (r *Response) Bound(bytes int64) { r.conn.in.remaining = bytes }
+
 // Read reads the rest of a body that exceeded the limit of ReadBody.
 func (r *Response) Read(p []byte) (int, error) {
 	n, err := r.Body.Read(p)
--- a/gate/call.go
+++ b/gate/call.go
@@ -25,6 +25,7 @@
 	tolerableBacklog     = 50 * time.Millisecond  // backlog of the link up to which no call is refused
 	sizeWeight           = 0.1                    // weight of one response in the moving average of a route's response size
 	headerOverhead       = 600                    // bytes of a response's head and packet headers on the link
+	maxUnsignedRemainder = 16 << 20               // bytes of an unsigned failure passed on beyond maxBuffered; a longer one is broken off
 )
 
 // Do admits a call and sends it to the target. Cancelling ctx aborts a call that is queued or idempotent; a non-idempotent
@@ -258,7 +259,7 @@
 		defer cancel()
 		return g.sendFailure(ctx, c, s, err)
 	}
-	v := g.deps.Dialect.Judge(resp.Response)
+	v := g.deps.Dialect.Judge(c, resp.Response)
 	g.recordLoad(v.Load)
 	g.recordNotices(c, s, v)
 	body, more, err := resp.ReadBody(maxBuffered)
@@ -267,8 +268,15 @@
 		resp.Release(g.deps.Now())
 		return g.sendFailure(ctx, c, s, err)
 	}
-	if more && v.Genuine {
-		return g.stream(c, s, resp, body, cancel)
+	if more {
+		switch v.Claim {
+		case Genuine:
+			return g.stream(c, s, resp, body, cancel)
+		case Unsigned:
+			resp.Bound(maxUnsignedRemainder)
+			return g.stream(c, s, resp, body, cancel)
+		}
+		v.Claim = Inconclusive
 	}
 	s.pool.Put(resp.Release(g.deps.Now()))
 	cancel()
@@ -345,19 +353,20 @@
 	return hop.Failed{Cause: hop.Broken, Load: g.currentLoad(c)}
 }
 
-// outcomeOf returns the outcome of a call whose response was read completely.
+// outcomeOf returns the outcome of a call whose response was read completely, or of an inconclusive one.
 func (g *Gate) outcomeOf(c *hop.Call, s *slot, resp *exchange.Response, v Verdict, body []byte) hop.Outcome {
-	switch {
-	case v.WrongTarget:
+	switch v.Claim {
+	case WrongTarget:
 		s.release(false, false)
 		g.transition("another target answered", func(t *lifecycle.Tracker) bool { return t.MarkReplaced(s.target.ID, g.deps.Now()) })
 		g.startHealthCheck("another target answered")
 		return hop.Refused{Cause: hop.NotHere, Load: g.currentLoad(c)}
-	case v.NotExecuted:
+	case NotExecuted:
 		s.release(true, true)
 		return hop.Refused{Cause: hop.TargetShed, RetryAfter: g.currentLoad(c).ServiceTime, Load: g.currentLoad(c)}
-	case resp.StatusCode/100 == 2 && !v.Genuine:
+	case Inconclusive:
 		s.release(true, true)
+		g.deps.Log.Info("response states nothing about its call", "call", c.ID, "instance", s.target.ID, "status", resp.StatusCode, "read", len(body))
 		return hop.Failed{Cause: hop.BadAnswer, Load: g.currentLoad(c)}
 	}
 	s.release(true, resp.StatusCode >= http.StatusInternalServerError)
@@ -370,10 +379,11 @@
 // stream forwards a response that exceeds maxBuffered; the slot is held until its body has been read.
 func (g *Gate) stream(c *hop.Call, s *slot, resp *exchange.Response, body []byte, cancel context.CancelFunc) hop.Outcome {
 	g.recordSize(c.Route, max(resp.ContentLength, int64(len(body))))
+	failed := resp.StatusCode >= http.StatusInternalServerError
 	out := &hop.Answered{Status: resp.StatusCode, Header: resp.Header, Body: body, Remainder: resp, Length: resp.ContentLength, Load: g.currentLoad(c), Release: func() {
 		s.pool.Put(resp.Release(g.deps.Now()))
 		cancel()
-		s.release(false, false)
+		s.release(failed, failed)
 	}}
 	g.scheduleSend(c, s, out)
 	return out
@@ -422,7 +432,7 @@
 
 // recordNotices applies the rate limit and the leaving that a target announces in its answer.
 func (g *Gate) recordNotices(c *hop.Call, s *slot, v Verdict) {
-	if v.WrongTarget || !v.Genuine && !v.NotExecuted {
+	if !v.Own {
 		return
 	}
 	now := g.deps.Now()
--- a/gate/dialect.go
+++ b/gate/dialect.go
@@ -15,17 +15,28 @@
 	Headers(c *hop.Call, id lifecycle.ID, left time.Duration) http.Header
 	// Match tells by its head whether a response belongs to the call; reused tells that the connection has carried other calls.
 	Match(c *hop.Call, resp *http.Response, reused bool) exchange.Match
-	// Judge returns what a response reports besides its status and body.
-	Judge(resp *http.Response) Verdict
+	// Judge returns what the head of a response to a call reports.
+	Judge(c *hop.Call, resp *http.Response) Verdict
 	// ReadHealth reads the response to a health check.
 	ReadHealth(resp *http.Response) Health
 }
 
-// Verdict is what a target's response reports besides its status and body.
+// Claim is what a whole response states about its call. A response that is not whole states nothing.
+type Claim uint8
+
+// The claims of a response.
+const (
+	Inconclusive Claim = iota // states nothing: the call may have run, and the response can't be passed on
+	Unsigned                  // a failure that the target has not signed; it is passed on, and the call may have run
+	Genuine                   // the target's own answer, passed on unchanged
+	NotExecuted               // the target did not execute the call
+	WrongTarget               // a target other than the addressed one responded and did not execute the call
+)
+
+// Verdict is what the head of a target's response reports.
 type Verdict struct {
-	NotExecuted     bool // the target reports that it did not execute the call
-	WrongTarget     bool // a target other than the addressed one responded
-	Genuine         bool // the body is the target's own, unmodified
+	Claim           Claim
+	Own             bool // the target on this VM is known to have sent the response, so its announcements count
 	ConnectionClose bool // the target closes the connection
 	Load            TargetLoad
 	RateLimit       RateLimit
