gate, hop: an answer promises "not run" only where the target states it

Cause: the gate passed a target's failure on with its status, whatever the status promises and whether the target had stated it. Ruled out by the log of the failing spec: a refusal at the gate, and a refusal made by the dispatcher (no such line for a 503). A 421 of the target itself was taken for a statement, too, and took the target out of use until its next start.

The dialect's verdict is now the only place where a response becomes "did not run". A signed 503, 429 or 408 without the statement becomes the node's own 502 without the signature.

--- a/gate/call.go
+++ b/gate/call.go
@@ -367,7 +367,7 @@
 	case Inconclusive:
 		s.release(true, true)
 		g.deps.Log.Info("response states nothing about its call", "call", c.ID, "instance", s.target.ID, "status", resp.StatusCode, "read", len(body))
-		return hop.Failed{Cause: hop.BadAnswer, Load: g.currentLoad(c)}
+		return hop.Failed{Cause: hop.Unstated, Load: g.currentLoad(c)}
 	}
 	s.release(true, resp.StatusCode >= http.StatusInternalServerError)
 	g.recordSize(c.Route, int64(len(body)))
--- a/hop/call.go
+++ b/hop/call.go
@@ -104,6 +104,7 @@
 	Broken       Cause = "broken"         // the connection to the target was lost
 	Silent       Cause = "silent"         // the target's node did not acknowledge the call
 	BadAnswer    Cause = "bad-answer"     // malformed answer, or one to another call
+	Unstated     Cause = "unstated"       // the target's answer states nothing about the call
 	CallerGone   Cause = "caller-gone"    // the caller closed its connection
 	TargetError  Cause = "target-error"   // the target answered with a server error
 )
@@ -124,7 +125,7 @@
 	return Load{}
 }
 
-// Answered holds the target's answer.
+// Answered holds the target's answer; its status never promises that the call has not run.
 type Answered struct {
 	Status    int
 	Header    http.Header
--- a/hop/header.go
+++ b/hop/header.go
@@ -142,6 +142,9 @@
 		RateLimit: CallRate(w.RateLimit), RateWait: time.Duration(w.RateWaitUs) * time.Microsecond, Leaving: w.Leaving}
 	switch w.Kind {
 	case kindAnswered:
+		if PromisesNotRun(resp.StatusCode) {
+			return Failed{Cause: Unstated, Load: l}, CallID(w.ID), nil // from a node of an earlier version
+		}
 		return &Answered{Status: resp.StatusCode, Header: resp.Header, Length: resp.ContentLength, Load: l}, CallID(w.ID), nil
 	case kindRefused:
 		return Refused{Cause: Cause(w.Cause), RetryAfter: time.Duration(w.RetryAfterUs) * time.Microsecond, Load: l}, CallID(w.ID), nil
--- a/hop/header_test.go
+++ b/hop/header_test.go
@@ -61,4 +61,14 @@
 		Expect(err).NotTo(HaveOccurred())
 		Expect(o).To(Equal(hop.Refused{Cause: hop.Busy, Load: hop.Load{Running: 9, Limit: 9}}))
 	})
+	// A node of an earlier version passes on a status that promises what its target has not stated.
+	It("makes no answer of a status that promises that the call has not run", func() {
+		for _, status := range []int{408, 421, 429, 503} {
+			h := http.Header{}
+			hop.WriteOutcome(h, "1", &hop.Answered{Status: status})
+			o, _, err := hop.ReadOutcome(&http.Response{StatusCode: status, Header: h})
+			Expect(err).NotTo(HaveOccurred())
+			Expect(o).To(Equal(hop.Failed{Cause: hop.Unstated}))
+		}
+	})
 })
--- /dev/null
+++ b/hop/status.go
@@ -0,0 +1,13 @@
+package hop
+
+import "net/http"
+
+// PromisesNotRun reports whether callers take a status for the promise that their request has not run and never will. Only a
+// Refused outcome gives that promise.
+func PromisesNotRun(status int) bool {
+	switch status {
+	case http.StatusRequestTimeout, http.StatusMisdirectedRequest, http.StatusTooManyRequests, http.StatusServiceUnavailable:
+		return true
+	}
+	return false
+}
