platform, lifecycle: refuse a heartbeat that lacks a field of a target's

Cause: five of eight fields were required, the zone was not read, and a later start time replaces the target for good. The log of the case names the foreign id at `target state changed`; ruled out: a change of address or of sequence of the target in use. A heartbeat under another id without a start time replaced a target that had named its own; it is refused now, too.

The new spec of agent fails on the sources before (200 for a heartbeat without a version) and passes now.

--- a/agent/target_test.go
+++ b/agent/target_test.go
@@ -82,6 +82,32 @@
 			Expect(n.target.runs.Load()).To(BeZero(), "%s", foreign)
 		}
 	})
+	// One such heartbeat replaced the target, whose own heartbeats were then ignored as those of an earlier start.
+	It("stays in use after a heartbeat of another writer that lacks a field or has one of another type", func() {
+		const complete = `{"born":BORN,"address":"127.0.0.1:9","info":{"service":"orders","version":"v1","zone":"z","slots":9},"status":{"state":"ready","sequence":1000,"coldLeftS":0}}`
+		s := newCluster("orders", "stock")
+		n := s.nodes[0]
+		for name, c := range map[string]struct{ old, replacement string }{
+			"no zone":                     {`"zone":"z",`, ``},
+			"a zone of another type":      {`"zone":"z"`, `"zone":7`},
+			"no zone but null":            {`"zone":"z"`, `"zone":null`},
+			"no version":                  {`"version":"v1",`, ``},
+			"a version of another type":   {`"v1"`, `[]`},
+			"no warm-up":                  {`,"coldLeftS":0`, ``},
+			"a warm-up of another type":   {`"coldLeftS":0`, `"coldLeftS":"0"`},
+			"no start time":               {`"born":BORN,`, ``},
+			"a start time that is broken": {`BORN`, `BORN.5`},
+		} {
+			for _, id := range []string{"i-other", n.target.id} {
+				born := fmt.Sprint(time.Now().UnixMilli())
+				body := strings.ReplaceAll(strings.Replace(complete, c.old, c.replacement, 1), "BORN", born)
+				Expect(n.post("/api/Instances.Heartbeat/"+id, body)).To(Equal(http.StatusBadRequest), "%s from %s", name, id)
+				Expect(n.heartbeat("ready")).To(Equal(http.StatusOK))
+				status, _, _ := s.nodes[1].call(http.MethodPost, "/orders/1", "order")
+				Expect(status).To(Equal(http.StatusOK), "%s from %s", name, id)
+			}
+		}
+	})
 	It("receives no more calls from all nodes together than the rate limit that it names, while targets with room serve the rest", func() {
 		const perSecond, most, watched, interval = 5, 35, 4 * time.Second, 10 * time.Millisecond // most: one and a half times the limit in 4 s, and 5 more
 		s := newCluster("stock", "orders", "stock", "orders")
--- a/lifecycle/tracker.go
+++ b/lifecycle/tracker.go
@@ -68,11 +68,11 @@
 // Target returns the current target; its ID is empty if there is none.
 func (t *Tracker) Target() Target { return t.current }
 
-// Contradicts reports whether a heartbeat can't come from the target whose id it bears: that one has said more of itself, or
-// something else.
+// Contradicts reports whether a heartbeat can't come from a target on this VM: the current one has named its start time, as the
+// ones after it do, or has named another service for the same start.
 func (t *Tracker) Contradicts(h Heartbeat) bool {
 	c := t.current
-	if c.ID != h.ID || c.State == Unknown {
+	if c.State == Unknown {
 		return false
 	}
 	return c.StartTime != 0 && h.StartTime == 0 || c.SameStart(h.ID, h.StartTime) && c.Service != h.Service
--- a/soak/fleet.go
+++ b/soak/fleet.go
@@ -99,7 +99,7 @@
 	f.targetsStarted++
 	id := lifecycle.ID(fmt.Sprintf("i-%s-%d", v.name, f.targetsStarted))
 	f.mu.Unlock()
-	t, err := startTarget(f.checker, targetConfig{id: id, service: v.service, address: v.cfg.TargetAddress, controlAddress: v.cfg.ControlAddress, drain: v.cfg.DrainPeriod})
+	t, err := startTarget(f.checker, targetConfig{id: id, service: v.service, dataCentre: v.cfg.DataCentre, address: v.cfg.TargetAddress, controlAddress: v.cfg.ControlAddress, drain: v.cfg.DrainPeriod})
 	if err != nil {
 		return err
 	}
--- a/soak/target.go
+++ b/soak/target.go
@@ -45,6 +45,7 @@
 type Target struct {
 	checker    *Checker
 	service    config.ServiceName
+	dataCentre fleet.DataCentre
 	drain      time.Duration
 	controlURL string // base URL of the node's control listener
 	address    string
@@ -65,6 +66,7 @@
 type targetConfig struct {
 	id                      lifecycle.ID
 	service                 config.ServiceName
+	dataCentre              fleet.DataCentre
 	address, controlAddress fleet.Address
 	drain                   time.Duration
 }
@@ -75,7 +77,7 @@
 	if err != nil {
 		return nil, errors.Wrap(err, "start target")
 	}
-	t := &Target{checker: ch, id: cfg.id, service: cfg.service, drain: cfg.drain, controlURL: "http://" + string(cfg.controlAddress), address: string(cfg.address),
+	t := &Target{checker: ch, id: cfg.id, service: cfg.service, dataCentre: cfg.dataCentre, drain: cfg.drain, controlURL: "http://" + string(cfg.controlAddress), address: string(cfg.address),
 		startTime: lifecycle.StartTime(time.Now().UnixMilli()), done: make(chan struct{})}
 	t.faults.Store(&TargetFaults{})
 	t.server = &http.Server{Handler: t}
@@ -158,7 +160,7 @@
 
 func (t *Target) heartbeat() []byte {
 	return platform.FormatHeartbeat(lifecycle.Heartbeat{StartTime: t.startTime, Sequence: t.sequence.Add(1), Service: t.service, Address: fleet.Address(t.address),
-		Version: "v1", Slots: slots, Draining: t.draining.Load()})
+		Version: "v1", Slots: slots, Draining: t.draining.Load()}, t.dataCentre)
 }
 
 // post sends a message to the node and reports whether it was acknowledged.
--- a/soak/writer.go
+++ b/soak/writer.go
@@ -29,7 +29,8 @@
 	Value string
 }
 
-// ForeignHeartbeat sends a heartbeat of another writer for the target beside a node.
+// ForeignHeartbeat sends two heartbeats of another writer to a node: one for its target, and one for a target of a later start that
+// lacks a data centre.
 type ForeignHeartbeat struct {
 	VM        int
 	Heartbeat lifecycle.Heartbeat // its id, start time and service are replaced if they are empty
@@ -101,8 +102,11 @@
 			if e.Heartbeat.Service == "" {
 				e.Heartbeat.Service = services[(e.VM+1)%len(services)]
 			}
-			if t.post(platform.HeartbeatPath, platform.FormatHeartbeat(e.Heartbeat)) {
-				f.checker.RecordViolation(ForeignWriter, "%s acknowledged a heartbeat of another writer for %s", f.vms[e.VM].name, t.id)
+			later := lifecycle.Heartbeat{StartTime: lifecycle.StartTime(time.Now().UnixMilli()), Sequence: 1, Service: t.service, Address: "127.0.0.1:9", Slots: slots}
+			for _, body := range [][]byte{platform.FormatHeartbeat(e.Heartbeat, t.dataCentre), platform.FormatHeartbeat(later, "")} {
+				if t.post(platform.HeartbeatPath, body) {
+					f.checker.RecordViolation(ForeignWriter, "%s acknowledged a heartbeat of another writer for %s", f.vms[e.VM].name, t.id)
+				}
 			}
 		}
 	case MissVersions:
