agent, platform: a target's message that can't be read is not acknowledged

Cause: a read error returned without a status, a body was cut at 16 KiB before parsing, and an unreadable deregistration counted as one without a start time. All three are answered 400 now and logged.

--- a/agent/serve.go
+++ b/agent/serve.go
@@ -16,7 +16,7 @@
 )
 
 const (
-	maxHeartbeat     = 16 << 10               // bytes of a heartbeat
+	maxMessage       = 16 << 10               // bytes of a heartbeat or a deregistration
 	departureTimeout = 500 * time.Millisecond // for the store to accept a departure; a target waits a second for the response
 	copyBufferSize   = 32 << 10
 	minRetryAfter    = 50 * time.Millisecond
@@ -142,16 +142,30 @@
 	return r
 }
 
-func (a *Agent) serveHeartbeat(w http.ResponseWriter, r *http.Request) {
-	body, err := io.ReadAll(io.LimitReader(r.Body, maxHeartbeat))
+// readMessage reads a message of the target; it answers one that is truncated or too long with 400 and reports false.
+func (a *Agent) readMessage(w http.ResponseWriter, r *http.Request, id lifecycle.ID) ([]byte, bool) {
+	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, maxMessage))
 	if err != nil {
-		return
+		a.refuseMessage(w, id, err)
 	}
+	return body, err == nil
+}
+
+// refuseMessage answers a message that changes nothing.
+func (a *Agent) refuseMessage(w http.ResponseWriter, id lifecycle.ID, err error) {
+	a.deps.Log.Info("malformed message of a target", "instance", id, "error", err)
+	w.WriteHeader(http.StatusBadRequest)
+}
+
+func (a *Agent) serveHeartbeat(w http.ResponseWriter, r *http.Request) {
 	id := lifecycle.ID(mux.Vars(r)["id"])
+	body, ok := a.readMessage(w, r, id)
+	if !ok {
+		return
+	}
 	h, err := platform.ParseHeartbeat(id, body)
 	if err != nil {
-		a.deps.Log.Info("malformed heartbeat", "instance", id, "error", err)
-		w.WriteHeader(http.StatusBadRequest)
+		a.refuseMessage(w, id, err)
 		return
 	}
 	if !a.gate.HandleHeartbeat(h) {
@@ -165,12 +179,17 @@
 }
 
 func (a *Agent) serveDeregistration(w http.ResponseWriter, r *http.Request) {
-	body, err := io.ReadAll(io.LimitReader(r.Body, maxHeartbeat))
+	id := lifecycle.ID(mux.Vars(r)["id"])
+	body, ok := a.readMessage(w, r, id)
+	if !ok {
+		return
+	}
+	startTime, err := platform.ParseDeregistration(body)
 	if err != nil {
+		a.refuseMessage(w, id, err)
 		return
 	}
-	id := lifecycle.ID(mux.Vars(r)["id"])
-	a.gate.Deregister(id, platform.ParseDeregistration(body))
+	a.gate.Deregister(id, startTime)
 	a.waitDepartureStored(id, "deregistered")
 	writeEmpty(w)
 }
