--- a/agent/entry_test.go
+++ b/agent/entry_test.go
@@ -28,6 +28,9 @@
 		"whose state is unknown":           {`"open"`, `"asleep"`},
 		"whose start time is out of range": {`"born":1`, `"born":-1`},
 		"that has a field of another type": {`"costa"`, `[]`},
+		"that lacks its region":            {`"region":"costa",`, ``},
+		"that lacks its data centre":       {`"dc":"costa-norte",`, ``},
+		"whose target lacks its service":   {`"service":"stock",`, ``},
 		"that names another node":          {`"NODE"`, `"vm-1"`},
 	}
 	odd := func(name, node string) []byte {
--- a/member/record.go
+++ b/member/record.go
@@ -43,6 +43,9 @@
 	return cmp.Or(cmp.Compare(r.Incarnation, o.Incarnation), cmp.Compare(r.Sequence, o.Sequence))
 }
 
+// ErrIncomplete is returned for a record that lacks a field.
+var ErrIncomplete = errors.New("member record incomplete")
+
 // ErrOutOfRange is returned for a record that no node publishes.
 var ErrOutOfRange = errors.New("member record out of range")
 
@@ -55,11 +58,15 @@
 // MaxSlots is the largest number of slots that a target can have.
 const MaxSlots = 1 << 16
 
-// Validate returns ErrOutOfRange if a field has a value that no node publishes.
+// Validate returns ErrIncomplete if the record lacks a field, and ErrOutOfRange if a field has a value that no node publishes.
 func (r Record) Validate() error {
 	_, err := netip.ParseAddrPort(string(r.Address))
 	t := r.Target
 	switch {
+	case r.Sequence == 0, r.DataCentre == "", r.Region == "":
+		return errors.Wrapf(ErrIncomplete, "sequence %d, data centre %q, region %q", r.Sequence, r.DataCentre, r.Region)
+	case (t.ID == "") != (t.Service == ""), t.ID == "" && t.State != lifecycle.Unknown:
+		return errors.Wrapf(ErrIncomplete, "target %q of service %q in state %q", t.ID, t.Service, t.State)
 	case r.Node == "", r.Incarnation <= 0, r.Incarnation > maxNumber, r.Sequence > maxNumber:
 		return errors.Wrapf(ErrOutOfRange, "node %q, incarnation %d, sequence %d", r.Node, r.Incarnation, r.Sequence)
 	case err != nil, strings.HasSuffix(string(r.Address), ":0"):
--- a/member/record_test.go
+++ b/member/record_test.go
@@ -15,8 +15,8 @@
 
 // A record that no node publishes hid the node whose name it bears, or was called as a target.
 var _ = Describe("a record", func() {
-	complete := member.Record{Node: "vm-1", Incarnation: 1796472103383, Sequence: 3, Address: "10.0.0.1:80", LinkBandwidth: 7e6,
-		Target: member.Target{ID: "i-1", StartTime: 1796472103383, Slots: 9, State: lifecycle.Open, WarmUp: time.Second}}
+	complete := member.Record{Node: "vm-1", Incarnation: 1796472103383, Sequence: 3, DataCentre: "ishikari-a", Region: "ishikari", Address: "10.0.0.1:80", LinkBandwidth: 7e6,
+		Target: member.Target{ID: "i-1", Service: "drafts", StartTime: 1796472103383, Slots: 9, State: lifecycle.Open, WarmUp: time.Second}}
 	It("is valid without a target", func() {
 		r := complete
 		r.Target = member.Target{}
@@ -49,4 +49,22 @@
 			Expect(errors.Is(r.Validate(), member.ErrOutOfRange)).To(BeTrue())
 		})
 	}
+	// A record of another writer that lacks a field was taken for a node of no region, or for a target of no service.
+	incomplete := map[string]func(*member.Record){
+		"a sequence":           func(r *member.Record) { r.Sequence = 0 },
+		"a data centre":        func(r *member.Record) { r.DataCentre = "" },
+		"a region":             func(r *member.Record) { r.Region = "" },
+		"its target's id":      func(r *member.Record) { r.Target.ID = "" },
+		"its target's service": func(r *member.Record) { r.Target.Service = "" },
+		"all but the state of its target": func(r *member.Record) {
+			r.Target = member.Target{State: lifecycle.Open}
+		},
+	}
+	for name, spoil := range incomplete {
+		It("is refused without "+name, func() {
+			r := complete
+			spoil(&r)
+			Expect(errors.Is(r.Validate(), member.ErrIncomplete)).To(BeTrue())
+		})
+	}
 })
