agent, dispatch, gate: take no order that can't end before a planned stop

Cause: the end of the process was known at the signal and used nowhere. Ruled out: kept connections that are closed too early (only the orders of the last 0.4 s before the node refuses are cut, with work of 3.6 s each). Dispatcher and gate now know the end: deadlines don't exceed it, and a call that may run once is refused as not run if slow calls of its route would not end in time. Calls nested in a running one are taken until the end; they were refused after 2.2 s and failed the running call.

--- a/agent/agent.go
+++ b/agent/agent.go
@@ -225,6 +225,7 @@
 const (
 	drainNotice = 2200 * time.Millisecond // two readiness checks a second apart, after which callers use another node
 	exitMargin  = 600 * time.Millisecond  // before the process is killed
+	reportTime  = 100 * time.Millisecond  // before the exit, for targets to report calls that reached their deadline
 	drainPoll   = 20 * time.Millisecond
 	restartTime = 1500 * time.Millisecond // typical time until a stopped process is back, sent as Retry-After
 )
@@ -235,6 +236,9 @@
 	ctx, cancel := context.WithTimeout(context.Background(), cfg.ShutdownGrace-exitMargin)
 	defer cancel()
 	a.stopping.Store(true)
+	end := a.deps.Now().Add(cfg.ShutdownGrace - exitMargin - reportTime)
+	a.dispatcher.StopAt(end, restartTime)
+	a.gate.StopAt(end)
 	sleep(ctx, drainNotice)
 	a.refusing.Store(true)
 	a.gate.Close()
--- a/agent/message_test.go
+++ b/agent/message_test.go
@@ -52,6 +52,11 @@
 	_, err = io.WriteString(conn, message)
 	Expect(err).NotTo(HaveOccurred())
 	Expect(conn.(*net.TCPConn).CloseWrite()).To(Succeed())
+	return readStatus(conn)
+}
+
+// readStatus returns the status of the next answer on a connection, or zero if there is none.
+func readStatus(conn net.Conn) int {
 	resp, err := http.ReadResponse(bufio.NewReader(conn), nil)
 	if err != nil {
 		return 0
--- a/agent/serve.go
+++ b/agent/serve.go
@@ -10,6 +10,7 @@
 	"github.com/cockroachdb/errors"
 	"github.com/gorilla/mux"
 
+	"github.com/cassialead/cassialead/dispatch"
 	"github.com/cassialead/cassialead/hop"
 	"github.com/cassialead/cassialead/lifecycle"
 	"github.com/cassialead/cassialead/platform"
@@ -31,7 +32,7 @@
 	if a.stopping.Load() {
 		w.Header().Set("Connection", "close")
 	}
-	if a.refusing.Load() {
+	if a.refuses(request) {
 		writeOutcome(w, request.ID, hop.Refused{Cause: hop.Closed, RetryAfter: restartTime})
 		return
 	}
@@ -47,6 +48,16 @@
 	writeOutcome(w, request.ID, outcome)
 }
 
+// refuses reports whether the node is about to stop and takes no new request: only a call that the target makes for one that it is
+// running, which would fail without it.
+func (a *Agent) refuses(in *dispatch.Request) bool {
+	if !a.refusing.Load() {
+		return false
+	}
+	parentRuns, _ := a.gate.Runs(in.Parent)
+	return in.Parent == "" || !parentRuns
+}
+
 // writeOutcome writes the outcome of a call to the caller.
 func writeOutcome(w http.ResponseWriter, id hop.CallID, o hop.Outcome) {
 	switch o := o.(type) {
--- a/dispatch/dispatch.go
+++ b/dispatch/dispatch.go
@@ -64,6 +64,8 @@
 	resubmissions resubmissions
 	sizes         sizes
 	overloads     overloads
+	durations     hop.Durations
+	stop          atomic.Pointer[stop] // set once the node is stopping
 }
 
 // New returns a dispatcher without a configuration.
@@ -87,6 +89,23 @@
 // Plan returns the configuration in force, or nil.
 func (d *Dispatcher) Plan() *config.Plan { return d.plan.Load() }
 
+// stop is the end of the node.
+type stop struct {
+	at         time.Time
+	retryAfter time.Duration // until callers are served again
+}
+
+// StopAt announces that the node stops at a time: calls end before it, and those that may run only once are refused if they are not
+// expected to. Callers are served again, here or elsewhere, after retryAfter.
+func (d *Dispatcher) StopAt(end time.Time, retryAfter time.Duration) {
+	d.stop.Store(&stop{end, retryAfter})
+}
+
+// endsTooLate reports whether a call that may run only once is not expected to end before the node stops.
+func (d *Dispatcher) endsTooLate(s *stop, c *hop.Call, now time.Time) bool {
+	return s != nil && !c.Idempotent && now.Add(d.durations.Slow(c.Route, now)).After(s.at)
+}
+
 const answerMargin = 20 * time.Millisecond // reserved before the caller's deadline for the transfer of the answer
 
 // Do delivers a request and returns its outcome; an answer's Release must be called once it has been passed on.
@@ -101,6 +120,9 @@
 		return hop.Refused{Cause: hop.NoRoute}
 	}
 	job := d.newDelivery(in, plan, rule)
+	if s := d.stop.Load(); d.endsTooLate(s, &job.call, d.deps.Now()) {
+		return job.finalOutcome(hop.Refused{Cause: hop.Closed, RetryAfter: s.retryAfter})
+	}
 	ctx, cancel := context.WithDeadline(ctx, job.call.Deadline)
 	o := job.run(ctx)
 	if a, ok := o.(*hop.Answered); ok {
@@ -110,6 +132,7 @@
 			cancel()
 		}
 		d.sizes.observe(rule.Name, len(a.Body))
+		d.durations.Record(rule.Name, d.deps.Now().Sub(in.ReceivedAt), d.deps.Now())
 	} else {
 		d.resubmissions.record(in, job.firstReceivedAt, d.deps.Now())
 		cancel()
@@ -131,6 +154,9 @@
 	job.call = hop.Call{ID: in.ID, Method: in.Method, URI: in.URI, Host: in.Host, Header: in.Header, Body: in.Body, Route: rule.Name,
 		Service: d.split.nextService(rule), Origin: in.Origin, Rank: rank, Idempotent: rule.Idempotent(),
 		SoftDeadline: job.firstReceivedAt.Add(rule.LatencyObjective), Deadline: in.ReceivedAt.Add(timeout - answerMargin)}
+	if s := d.stop.Load(); s != nil && s.at.Before(job.call.Deadline) {
+		job.call.Deadline = s.at
+	}
 	d.deps.Budget.Deposit(job.call.Service, in.ReceivedAt)
 	if parentRetried {
 		d.deps.Budget.Overdraw(job.call.Service, in.ReceivedAt)
--- a/gate/call.go
+++ b/gate/call.go
@@ -52,6 +52,7 @@
 }
 
 func (g *Gate) do(ctx context.Context, c *hop.Call) hop.Outcome {
+	g.endBeforeStop(c)
 	s, refused := g.admit(ctx, c)
 	if refused != nil {
 		return *refused
@@ -112,6 +113,9 @@
 		if conclusive {
 			s.g.recordResult(now, failed)
 		}
+		if conclusive && !failed {
+			s.g.durations.Record(s.route, held, now)
+		}
 		if !conclusive || failed {
 			held = 0
 		} else {
@@ -187,7 +191,7 @@
 	t := g.tracker.Target()
 	cause := hop.Cause("")
 	switch {
-	case g.closed || t.State == lifecycle.Leaving:
+	case g.closed || t.State == lifecycle.Leaving || g.endsTooLate(now, c):
 		cause = hop.Closed
 	case t.ID == "" || t.ID != c.Instance || t.Service != c.Service:
 		cause = hop.NotHere
--- a/gate/gate.go
+++ b/gate/gate.go
@@ -47,7 +47,9 @@
 	tracker       *lifecycle.Tracker
 	queue         *Queue
 	pool          *exchange.Pool
-	closed        bool // the node is shutting down
+	closed        bool          // the node is shutting down
+	end           time.Time     // when the node stops, or zero
+	durations     hop.Durations // of the calls at the target
 	bodies        bodyAdmission
 	health        config.PlanService // of the current plan
 	address       fleet.Address      // of the target, from the settings
@@ -235,6 +237,31 @@
 	return h, nil
 }
 
+// StopAt announces that the node stops at a time: calls end before it, and those that may run only once are refused if they are not
+// expected to.
+func (g *Gate) StopAt(end time.Time) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.end = end
+}
+
+// endBeforeStop limits a call's deadline to the time at which the node stops.
+func (g *Gate) endBeforeStop(c *hop.Call) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if !g.end.IsZero() && g.end.Before(c.Deadline) {
+		c.Deadline = g.end
+	}
+}
+
+// endsTooLate reports whether a call that may run only once is not expected to end before the node stops; it is called with mu held.
+func (g *Gate) endsTooLate(now time.Time, c *hop.Call) bool {
+	if g.end.IsZero() || c.Idempotent {
+		return false
+	}
+	return now.Add(g.queue.ExpectedWait(now, newTicket(c)) + g.durations.Slow(c.Route, now)).After(g.end)
+}
+
 // Close refuses new calls and request bodies from now on; calls that run or are queued continue.
 func (g *Gate) Close() {
 	g.mu.Lock()
