--- a/agent/cluster_test.go
+++ b/agent/cluster_test.go
@@ -41,6 +41,7 @@
 	healthy   atomic.Bool
 	sequence  atomic.Int64
 	fault     atomic.Value // func(http.ResponseWriter, *http.Request) bool
+	health    atomic.Value // func(http.ResponseWriter), which answers health checks, or nil
 }
 
 func newFakeTarget(id string, startTime int64) *fakeTarget {
@@ -59,6 +60,10 @@
 func (a *fakeTarget) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	w.Header().Set("Instance-Id", a.id)
 	w.Header().Set("Server-Load", "0,0,9,100")
+	if f, ok := a.health.Load().(func(http.ResponseWriter)); ok && r.URL.Path == "/health" {
+		f(w)
+		return
+	}
 	if r.URL.Path == "/health" {
 		if !a.healthy.Load() {
 			w.WriteHeader(http.StatusServiceUnavailable)
--- a/gate/gate.go
+++ b/gate/gate.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/VictoriaMetrics/metrics"
+	"github.com/cockroachdb/errors"
 
 	"github.com/cassialead/cassialead/config"
 	"github.com/cassialead/cassialead/exchange"
@@ -216,6 +217,9 @@
 	}()
 }
 
+// errHealthTooLong is returned for a response to a health check that is not read to its end.
+var errHealthTooLong = errors.New("response to a health check exceeds the size limit")
+
 func (g *Gate) healthCheck(address, path string) (Health, error) {
 	ctx, cancel := context.WithTimeout(context.Background(), healthCheckTimeout)
 	defer cancel()
@@ -229,7 +233,11 @@
 		return Health{}, err
 	}
 	h := g.deps.Dialect.ReadHealth(resp.Response)
-	if _, _, err := resp.ReadBody(maxBuffered); err != nil {
+	_, more, err := resp.ReadBody(maxBuffered)
+	if err == nil && more {
+		err = errHealthTooLong
+	}
+	if err != nil {
 		conn.Close()
 		return Health{}, err
 	}
