agent: a node registers whichever way it learns of the members first

Cause: the registrar waited for a stale list of the store, which is read no more once another node has sent the members. Ruled out by the log: writes that fail, an entry that is written and lost (no lease is asked for at all). Now each way ends the wait, and a record for which the store has no entry gets a new sequence, as others may have removed the earlier one.

--- a/agent/peer.go
+++ b/agent/peer.go
@@ -212,6 +212,7 @@
 	if len(update.Records) > 0 {
 		a.membersLoaded.Store(true)
 		a.synced.Store(true)
+		a.registrar.reportMembers()
 	}
 }
 
--- a/agent/registrar.go
+++ b/agent/registrar.go
@@ -36,17 +36,17 @@
 	storedAt       time.Time      // time of that acknowledgement
 	waiters        []chan struct{}
 
-	wake            chan struct{}
-	entryMissing    chan struct{}
-	storeListed     chan struct{} // closed once the store has been listed
-	storeListedOnce sync.Once     // guards closing storeListed
-	era             store.Era     // in which lease, revision and storedSequence were confirmed
-	lease           store.LeaseNumber
-	held            atomic.Pointer[heldLease] // current lease, read by endLease
-	leaseDoubtful   bool                      // the store has returned from an older copy since it confirmed the lease
-	renewAt         time.Time
-	revision        store.Revision
-	revisionKnown   bool // revision is that of the entry
+	wake          chan struct{}
+	entryMissing  chan struct{}
+	loaded        chan struct{} // closed once members are known
+	loadedOnce    sync.Once     // guards closing loaded
+	era           store.Era     // in which lease, revision and storedSequence were confirmed
+	lease         store.LeaseNumber
+	held          atomic.Pointer[heldLease] // current lease, read by endLease
+	leaseDoubtful bool                      // the store has returned from an older copy since it confirmed the lease
+	renewAt       time.Time
+	revision      store.Revision
+	revisionKnown bool // revision is that of the entry
 }
 
 // heldLease is a lease and the era in which the store confirmed it; in another era its number may be another client's.
@@ -56,7 +56,7 @@
 }
 
 func newRegistrar(a *Agent) *registrar {
-	r := &registrar{agent: a, wake: make(chan struct{}, 1), entryMissing: make(chan struct{}, 1), storeListed: make(chan struct{})}
+	r := &registrar{agent: a, wake: make(chan struct{}, 1), entryMissing: make(chan struct{}, 1), loaded: make(chan struct{})}
 	r.record = a.localRecord()
 	r.record.Incarnation = fleet.Incarnation(a.deps.Now().UnixMilli())
 	r.record.Sequence = 1
@@ -158,24 +158,31 @@
 func (r *registrar) reportListed(own *store.Item, stale bool) {
 	switch {
 	case stale:
-		r.storeListedOnce.Do(func() {
+		r.loadedOnce.Do(func() {
 			// A stale revision costs at most one refused write, after which the entry is read again.
 			r.revisionKnown = true
 			if own != nil {
 				r.adoptEntry(*own)
 			}
-			close(r.storeListed)
+			close(r.loaded)
 		})
 	case own == nil:
+		r.reportMembers()
 		r.reportMissing()
+	default:
+		r.reportMembers()
 	}
 }
 
-// waitForTarget waits until the store has been listed, so that departures of an earlier process are known, and then for the
-// first heartbeat of the target.
+// reportMembers ends the wait for the first list: members are known from another node or from a list that is not stale, so no stale
+// one may follow. The entry of an earlier process is read before this one writes its own.
+func (r *registrar) reportMembers() { r.loadedOnce.Do(func() { close(r.loaded) }) }
+
+// waitForTarget waits until members are known, so that most departures of an earlier process are, too, and then for the first
+// heartbeat of the target.
 func (r *registrar) waitForTarget(ctx context.Context) {
 	select {
-	case <-r.storeListed:
+	case <-r.loaded:
 	case <-ctx.Done():
 		return
 	}
@@ -371,19 +378,14 @@
 	return err
 }
 
-// reissue prepares the record to be written where the store has no entry. If it had one before, other nodes may have removed this
-// one and reject what they knew of it, so the record gets a new sequence.
+// reissue prepares the record to be written where the store has no entry. Other nodes may have learned of this one from each other
+// and removed it since, and reject what they knew of it, so the record gets a new sequence.
 func (r *registrar) reissue() {
 	r.revision, r.revisionKnown = 0, true
 	r.mu.Lock()
-	lost := !r.storedAt.IsZero()
-	if lost {
-		r.record.Sequence++
-	}
+	r.record.Sequence++
 	r.mu.Unlock()
-	if lost {
-		r.agent.mergeRecords([]member.Record{r.current()}, false)
-	}
+	r.agent.mergeRecords([]member.Record{r.current()}, false)
 }
 
 // markStoredAs marks the record as stored up to what the entry holds, if this process has written it.
