exchange, agent: bound every write on an accepted connection

Cause: the write of a long answer to a silent connection never returned, and the slot of its target was held until then. Ruled out: reads from the target (it has no request then) and waits at the calling node (callers get 503, not 504).

--- a/agent/agent.go
+++ b/agent/agent.go
@@ -15,6 +15,7 @@
 
 	"github.com/cassialead/cassialead/config"
 	"github.com/cassialead/cassialead/dispatch"
+	"github.com/cassialead/cassialead/exchange"
 	"github.com/cassialead/cassialead/fleet"
 	"github.com/cassialead/cassialead/gate"
 	"github.com/cassialead/cassialead/hop"
@@ -274,7 +275,7 @@
 		if s.address == "" {
 			continue
 		}
-		l, err := net.Listen("tcp4", string(s.address))
+		l, err := exchange.Listen(string(s.address))
 		if err != nil {
 			return errors.Wrapf(err, "open %s listener", s.name)
 		}
--- a/exchange/conn.go
+++ b/exchange/conn.go
@@ -137,11 +137,11 @@
 
 // PeerClosed reports whether the peer has closed or reset a connection on which no data is pending.
 func PeerClosed(nc net.Conn) bool {
-	tc, ok := nc.(*net.TCPConn)
+	sc, ok := nc.(syscall.Conn)
 	if !ok {
 		return false
 	}
-	raw, err := tc.SyscallConn()
+	raw, err := sc.SyscallConn()
 	if err != nil {
 		return true
 	}
