lifecycle: refuse a heartbeat that names another address for the same start

A process keeps its address from its start to its end, so such a heartbeat contradicts the target.

The new spec of agent fails on the sources before (200) and passes now; the tracker's table has the three cases beside it.

--- a/agent/target_test.go
+++ b/agent/target_test.go
@@ -108,6 +108,16 @@
 			}
 		}
 	})
+	// Such a heartbeat set the target's address for good.
+	It("stays in use after a heartbeat of another writer that names another address for it", func() {
+		s := newCluster("orders", "stock")
+		n := s.nodes[0]
+		body := fmt.Sprintf(`{"born":%d,"address":"127.0.0.1:9","info":{"service":"orders","version":"v1","zone":"z","slots":9},"status":{"state":"ready","sequence":1000,"coldLeftS":0}}`, n.target.startTime)
+		Expect(n.post("/api/Instances.Heartbeat/"+n.target.id, body)).To(Equal(http.StatusBadRequest))
+		Expect(n.heartbeat("ready")).To(Equal(http.StatusOK))
+		status, _, _ := s.nodes[1].call(http.MethodPost, "/orders/1", "order")
+		Expect(status).To(Equal(http.StatusOK))
+	})
 	It("receives no more calls from all nodes together than the rate limit that it names, while targets with room serve the rest", func() {
 		const perSecond, most, watched, interval = 5, 35, 4 * time.Second, 10 * time.Millisecond // most: one and a half times the limit in 4 s, and 5 more
 		s := newCluster("stock", "orders", "stock", "orders")
--- a/lifecycle/tracker.go
+++ b/lifecycle/tracker.go
@@ -69,13 +69,14 @@
 func (t *Tracker) Target() Target { return t.current }
 
 // Contradicts reports whether a heartbeat can't come from a target on this VM: the current one has named its start time, as the
-// ones after it do, or has named another service for the same start.
+// ones after it do, or has named another service or address for the same start.
 func (t *Tracker) Contradicts(h Heartbeat) bool {
 	c := t.current
 	if c.State == Unknown {
 		return false
 	}
-	return c.StartTime != 0 && h.StartTime == 0 || c.SameStart(h.ID, h.StartTime) && c.Service != h.Service
+	named := c.StartTime != 0
+	return named && h.StartTime == 0 || c.SameStart(h.ID, h.StartTime) && (c.Service != h.Service || named && c.Address != h.Address)
 }
 
 // HandleHeartbeat applies a heartbeat. It reports whether the target changed and whether a health check has to confirm that it
--- a/lifecycle/tracker_test.go
+++ b/lifecycle/tracker_test.go
@@ -116,6 +116,9 @@
 		"without a start time while none is known":            {nil, ready("a", 0, 1000), false},
 		"of another service":                                  {[]lifecycle.Heartbeat{ready("a", 1, 1)}, lifecycle.Heartbeat{ID: "a", StartTime: 1, Sequence: 1000, Service: "orders"}, true},
 		"of another service for an unknown target":            {nil, lifecycle.Heartbeat{ID: "b", StartTime: 1, Sequence: 1, Service: "orders"}, false},
+		"of another address for the same start":               {[]lifecycle.Heartbeat{ready("a", 1, 1)}, lifecycle.Heartbeat{ID: "a", StartTime: 1, Sequence: 1000, Service: "drafts", Address: "192.0.2.9:80"}, true},
+		"of another address while no start time is known":     {nil, lifecycle.Heartbeat{ID: "a", StartTime: 1, Sequence: 1, Service: "drafts", Address: "192.0.2.9:80"}, false},
+		"of another address for a later start":                {[]lifecycle.Heartbeat{ready("a", 1, 1)}, lifecycle.Heartbeat{ID: "a", StartTime: 2, Sequence: 1, Service: "drafts", Address: "192.0.2.9:80"}, false},
 		"of another service after the target's end":           {[]lifecycle.Heartbeat{ready("a", 1, 1), draining("a", 1, 2)}, lifecycle.Heartbeat{ID: "a", StartTime: 1, Sequence: 3, Service: "orders"}, true},
 	}
 	for name, c := range foreign {
