gate: answer an order whose answer is lost half a second after its timeout at most

Cause: the gate waited that long for the target's own report, and on the same VM no other deadline ends the wait. The time is 400 ms now.

--- a/gate/call.go
+++ b/gate/call.go
@@ -20,7 +20,7 @@
 	nonIdempotentMaxIdle = time.Second            // longest idle time of a pooled connection for a non-idempotent call
 	idleCloseMinIdle     = 50 * time.Millisecond  // idle time from which a reset of a pooled connection may be an idle timeout
 	idleCloseMaxDelay    = 100 * time.Millisecond // longest time from the request to such a reset
-	nonIdempotentGrace   = time.Second            // after a call's deadline, in which the target may report that it aborted the call
+	nonIdempotentGrace   = 400 * time.Millisecond // after a call's deadline, in which the target may report that it aborted the call; callers are answered within half a second
 	minTimeLeft          = time.Millisecond       // no call is started with less time left before its deadline
 	tolerableBacklog     = 50 * time.Millisecond  // backlog of the link up to which no call is refused
 	sizeWeight           = 0.1                    // weight of one response in the moving average of a route's response size
