gate: refuse a queued call in time for its caller to learn that it has not run

Cause: the queue refused a call when half of its route's service time was left; for short calls the check and the way between regions use that up, and the calling node ends the call as timed out first. A queued call is refused at the latest 50 ms before its deadline, and not admitted after that.

Two new specs of the queue fail on the sources before.

--- a/gate/queue.go
+++ b/gate/queue.go
@@ -14,6 +14,7 @@
 	initialServiceTime = 100 * time.Millisecond // assumed mean service time before the first call has ended
 	serviceTimeMargin  = 1.5                    // times the mean service time; four in five calls take no longer
 	maxLateWait        = 250 * time.Millisecond // longest wait of a call that will miss its soft deadline; it only uses idle slots
+	refusalTime        = 50 * time.Millisecond  // before the deadline, for a refusal to reach the caller's node: a check, the way between regions and a margin
 	overloadPeriod     = 500 * time.Millisecond // in which late calls are refused after a call that could have been on time was refused
 )
 
@@ -239,7 +240,7 @@
 		}
 		t := q.waiting[best]
 		q.remove(best)
-		if !now.Before(t.Deadline) {
+		if q.expired(now, t) {
 			t.OnDecision(Rejected{Cause: hop.Expired})
 			continue
 		}
@@ -249,13 +250,19 @@
 	}
 }
 
+// expired reports whether a queued call can no longer be answered by its deadline: it is refused early enough for its caller to learn
+// that it has not run.
+func (q *Queue) expired(now time.Time, t *Ticket) bool {
+	return !now.Add(max(q.routeServiceTime(t.Route)/2, refusalTime)).Before(t.Deadline)
+}
+
 // Expire rejects queued calls that can no longer be answered by their deadline, and late calls that have waited for
 // maxLateWait.
 func (q *Queue) Expire(now time.Time) {
 	kept := q.waiting[:0]
 	for _, t := range q.waiting {
 		switch {
-		case !now.Add(q.routeServiceTime(t.Route) / 2).Before(t.Deadline):
+		case q.expired(now, t):
 			t.OnDecision(Rejected{Cause: hop.Expired, Wait: q.serviceTime})
 		case q.missesSoftDeadline(now, t) && now.Sub(t.arrived) > maxLateWait && t.Rank != hop.RankNested:
 			t.OnDecision(Rejected{Cause: hop.TooLate, Wait: q.serviceTime})
--- a/gate/queue_test.go
+++ b/gate/queue_test.go
@@ -93,6 +93,33 @@
 		Expect(offerTicket(q, start, "on time", 2, at(600), at(2000)).decision).To(Equal(gate.Admitted{}))
 		Expect(offerTicket(q, start, "nested", hop.RankNested, at(20), at(500)).decision).NotTo(BeAssignableToTypeOf(gate.Rejected{}))
 	})
+	// The caller's node ended such a call as timed out before the refusal came, and its caller could not come back with an order.
+	It("come early enough before the deadline to reach the caller's node, also for short calls", func() {
+		const way, served = 30, 10 // milliseconds: a check and the way between two regions; a short call
+		q := gate.NewQueue()
+		q.SetLimit(start, 1)
+		for range 100 {
+			offerTicket(q, start, "short", hop.RankNested, at(600), at(600))
+			q.Release(start, "", served*time.Millisecond) // the mean service time becomes that of short calls
+		}
+		offerTicket(q, start, "running", hop.RankNested, at(600), at(600))
+		w := offerTicket(q, start, "waiting", hop.RankNested, at(600), at(600))
+		for ms := 0; ms <= 600 && w.decision == (gate.Queued{}); ms += 20 {
+			q.Refresh(at(ms))
+			if w.decision != (gate.Queued{}) {
+				Expect(ms).To(BeNumerically("<=", 600-way))
+			}
+		}
+		Expect(w.decision).To(BeAssignableToTypeOf(gate.Rejected{}))
+	})
+	It("meet a queued call whose slot comes free too late for it", func() {
+		q := gate.NewQueue()
+		q.SetLimit(start, 1)
+		offerTicket(q, start, "running", hop.RankNested, at(600), at(600))
+		w := offerTicket(q, start, "waiting", hop.RankNested, at(600), at(600))
+		q.Release(at(590), "", 0)
+		Expect(w.decision).To(Equal(gate.Rejected{Cause: hop.Expired}))
+	})
 	It("admits no call that expired while the process was suspended, even if a slot is free", func() {
 		q := gate.NewQueue()
 		q.SetLimit(start, 1)
