platform: a status that no final response has states nothing

Callers got a connection that switches to a protocol that they had not asked for, or one that closes without an answer.

The verdict counts such a response as stating nothing (502).

--- a/agent/promise_test.go
+++ b/agent/promise_test.go
@@ -1,6 +1,7 @@
 package agent_test
 
 import (
+	"fmt"
 	"net/http"
 
 	. "github.com/onsi/ginkgo/v2"
@@ -77,3 +78,22 @@
 		Expect(status).To(Equal(http.StatusOK))
 	})
 })
+
+// A caller's connection was closed without an answer, or switched to a protocol that it had not asked for.
+var _ = Describe("a response whose status is none of a final response", func() {
+	It("reaches the caller as a failure", func() {
+		s := newCluster("orders", "stock")
+		for _, status := range []string{"099", "000", "101", "600", "999"} {
+			s.nodes[0].target.fault.Store(func(w http.ResponseWriter, r *http.Request) bool {
+				conn, _ := hijack(w)
+				_, _ = fmt.Fprintf(conn, "HTTP/1.1 %s Status\r\nRequest-Id: %s\r\nResponse-Signature: s\r\nContent-Length: 0\r\n\r\n", status, r.Header.Get("Request-Id"))
+				_ = conn.Close()
+				return true
+			})
+			for _, n := range s.nodes {
+				got, _, _ := n.call(http.MethodPost, "/orders/1", "order")
+				Expect(got).To(Equal(http.StatusBadGateway), "%s through %s", status, n.cfg.VM)
+			}
+		}
+	})
+})
