soak: targets fail with promises that they don't state and with long bodies

Failures of the soak's targets were all signed 500s without a body. A quarter each is now an unsigned 503, a signed 429, and an unsigned 500 of 2 MiB; a response that looks complete with another length, or a signed one that promises "not run", is a violation, next to the check of refused calls that ran.

--- a/soak/caller.go
+++ b/soak/caller.go
@@ -26,6 +26,7 @@
 	cancelShare      = 0.03                  // share of the calls that the caller cancels before the response
 	soakHost         = "soak.example"
 	vmHeader         = "Soak-Vm" // name of the caller's VM
+	maxNodeError     = 4 << 10   // bytes of an error of a node's own
 	atMostOnceShare  = 0.4       // share of the calls that may be executed only once
 )
 
@@ -102,6 +103,12 @@
 		}
 		c.checker.RecordOutcome("no response", false)
 	default:
+		if n := len(respBody); n > maxNodeError && n != longFailure {
+			c.checker.RecordViolation(ResponseIntegrity, "call %s: %d with %d bytes looks complete, the target sent %d", id, status, n, longFailure)
+		}
+		if signed && meansNotExecuted(status) {
+			c.checker.RecordViolation(ResponseIntegrity, "call %s: signed %d", id, status)
+		}
 		if meansNotExecuted(status) && isAtMostOnce(id) {
 			c.checker.RecordRefusal(id, status)
 		}
--- a/soak/target.go
+++ b/soak/target.go
@@ -242,6 +242,26 @@
 	}
 }
 
+// longFailure is the length, in bytes, of the long failures of targets; nodes buffer less.
+const longFailure = 2 << 20
+
+// fail answers a call that has run with a failure: signed, long, or with a status that promises that the call has not run.
+func fail(w http.ResponseWriter) {
+	switch rand.IntN(4) {
+	case 0:
+		w.WriteHeader(http.StatusInternalServerError)
+		_, _ = w.Write(make([]byte, longFailure)) // the caller may have disconnected
+	case 1:
+		w.WriteHeader(http.StatusServiceUnavailable)
+	case 2:
+		w.Header().Set(platform.SignatureHeader, "s")
+		w.WriteHeader(http.StatusTooManyRequests)
+	default:
+		w.Header().Set(platform.SignatureHeader, "s")
+		w.WriteHeader(http.StatusInternalServerError)
+	}
+}
+
 // respond sleeps for the service time and sends the response, or fails as the faults require.
 func (t *Target) respond(w http.ResponseWriter, id hop.CallID, body []byte) {
 	f := t.faults.Load()
@@ -250,8 +270,7 @@
 	case p < f.DropResponses:
 		panic(http.ErrAbortHandler)
 	case p < f.DropResponses+f.Errors:
-		w.Header().Set(platform.SignatureHeader, "s")
-		w.WriteHeader(http.StatusInternalServerError)
+		fail(w)
 		return
 	}
 	w.Header().Set(platform.SignatureHeader, "s")
