soak, agent, standin: each process of tests has a loopback address of its own

The nodes did as they should.

Each process now uses 127.x.y.1 by its id, and the specs of agent do, too, whose ports overlapped with the soak's.

--- a/agent/cluster_test.go
+++ b/agent/cluster_test.go
@@ -8,7 +8,6 @@
 	"log/slog"
 	"net"
 	"net/http"
-	"os"
 	"strings"
 	"sync/atomic"
 	"time"
@@ -96,11 +95,11 @@
 // freePort and the node's start.
 var ports atomic.Int64
 
-func init() { ports.Store(20000 + int64(os.Getpid()%100)*100) }
+func init() { ports.Store(20000) }
 
 func freePort() fleet.Address {
 	for {
-		address := fmt.Sprintf("127.0.0.1:%d", ports.Add(1))
+		address := fmt.Sprintf("%s:%d", standin.LoopbackIP(), ports.Add(1))
 		l, err := net.Listen("tcp4", address)
 		if err != nil {
 			continue
--- a/soak/fleet.go
+++ b/soak/fleet.go
@@ -5,7 +5,6 @@
 	"fmt"
 	"io"
 	"net"
-	"os"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -30,7 +29,6 @@
 	latencyObjective = 300 * time.Millisecond
 	memoryLimit      = 128 << 20 // bytes, of each node
 	firstPort        = 20000     // below the kernel's range of ephemeral ports
-	portsPerProcess  = 400       // reserved for each soak process, which lets two run at the same time
 )
 
 // Fleet is a set of running nodes with their targets and proxies and a simulated store.
@@ -51,7 +49,7 @@
 // newFleet starts the nodes, each with a target; dir holds their settings files and log receives their output.
 func newFleet(o Options, dir string, log io.Writer) (*Fleet, error) {
 	f := &Fleet{store: standin.NewStore(), checker: NewChecker(time.Now())}
-	f.nextPort.Store(firstPort + int64(os.Getpid()%20)*portsPerProcess)
+	f.nextPort.Store(firstPort)
 	f.writePlan()
 	dataCentres := []struct {
 		dc     fleet.DataCentre
@@ -85,7 +83,7 @@
 // freePort returns a loopback address with a port that is not in use.
 func (f *Fleet) freePort() fleet.Address {
 	for {
-		address := fmt.Sprintf("127.0.0.1:%d", f.nextPort.Add(1))
+		address := fmt.Sprintf("%s:%d", standin.LoopbackIP(), f.nextPort.Add(1))
 		if l, err := net.Listen("tcp4", address); err == nil {
 			_ = l.Close()
 			return fleet.Address(address)
