dispatch, gate: look at the end of a stopping node before each attempt of an order

Cause: whether an order can end before the stop was asked once, when it came. It is asked before each attempt now, and by a stopping gate again when the call gets its slot.

The new spec of dispatch fails on the sources before and passes now.

--- a/dispatch/delivery.go
+++ b/dispatch/delivery.go
@@ -49,6 +49,10 @@
 		if p == nil {
 			return d.targetsExhausted()
 		}
+		// Earlier attempts may have waited in queues.
+		if s := d.dispatcher.stop.Load(); d.dispatcher.endsTooLate(s, &d.call, d.dispatcher.deps.Now()) {
+			return d.finalOutcome(hop.Refused{Cause: hop.Closed, RetryAfter: s.retryAfter})
+		}
 		d.targetsTried++
 		p, o := d.sendHedged(ctx, p)
 		now := d.dispatcher.deps.Now()
--- a/dispatch/delivery_test.go
+++ b/dispatch/delivery_test.go
@@ -270,6 +270,23 @@
 		get(d, "/order/")
 		Expect(f.calls).To(HaveLen(1))
 	})
+	// An order that had waited in a queue was sent on to a target where it could not end before the node stopped.
+	It("end with a refusal once an order is not expected to end before its node stops, also after a wait", func() {
+		const takes, waits = 200 * time.Millisecond, 150 * time.Millisecond
+		after := func(d time.Duration, outcome func(*hop.Call) hop.Outcome) func(*hop.Call) hop.Outcome {
+			return func(c *hop.Call) hop.Outcome {
+				time.Sleep(d)
+				return outcome(c)
+			}
+		}
+		f := &fakeNodes{outcomes: outcomes{after(takes, answered(200)), after(waits, refused(hop.TooLate)), answered(200)}}
+		d := newDispatcher(f, 3, ampleBudget)
+		Expect(get(d, "/order/")).To(BeAssignableToTypeOf(&hop.Answered{}))
+		d.StopAt(time.Now().Add(takes+waits/2), time.Second)
+		Expect(get(d, "/order/")).To(Equal(hop.Refused{Cause: hop.Closed, RetryAfter: time.Second}))
+		Expect(f.calls).To(HaveLen(2), "the second order was refused by one target and sent to no other")
+		Expect(get(d, "/safe/")).To(BeAssignableToTypeOf(&hop.Answered{}), "a call that may run again is sent")
+	})
 	It("include no hedge if there is no other target", func() {
 		f := &fakeNodes{outcomes: outcomes{unacknowledged, answered(500)}}
 		o := get(newDispatcher(f, 1, ampleBudget), "/safe/")
--- a/dispatch/dispatch.go
+++ b/dispatch/dispatch.go
@@ -120,9 +120,6 @@
 		return hop.Refused{Cause: hop.NoRoute}
 	}
 	job := d.newDelivery(in, plan, rule)
-	if s := d.stop.Load(); d.endsTooLate(s, &job.call, d.deps.Now()) {
-		return job.finalOutcome(hop.Refused{Cause: hop.Closed, RetryAfter: s.retryAfter})
-	}
 	ctx, cancel := context.WithDeadline(ctx, job.call.Deadline)
 	o := job.run(ctx)
 	if a, ok := o.(*hop.Answered); ok {
--- a/gate/call.go
+++ b/gate/call.go
@@ -191,7 +191,7 @@
 	t := g.tracker.Target()
 	cause := hop.Cause("")
 	switch {
-	case g.closed || t.State == lifecycle.Leaving || g.endsTooLate(now, c):
+	case g.closed || t.State == lifecycle.Leaving || g.endsTooLate(now.Add(g.queue.ExpectedWait(now, newTicket(c))), c):
 		cause = hop.Closed
 	case t.ID == "" || t.ID != c.Instance || t.Service != c.Service:
 		cause = hop.NotHere
@@ -232,6 +232,7 @@
 func (g *Gate) rejectAdmitted(c *hop.Call, s *slot) *hop.Refused {
 	t := s.target
 	switch {
+	case g.endsTooLate(s.acquired, c): // the wait took longer than expected
 	case t.State == lifecycle.Open && t.ID == c.Instance && t.Service == c.Service:
 		if s.acquired.Before(c.Deadline) {
 			return nil
--- a/gate/gate.go
+++ b/gate/gate.go
@@ -262,12 +262,10 @@
 	}
 }
 
-// endsTooLate reports whether a call that may run only once is not expected to end before the node stops; it is called with mu held.
-func (g *Gate) endsTooLate(now time.Time, c *hop.Call) bool {
-	if g.end.IsZero() || c.Idempotent {
-		return false
-	}
-	return now.Add(g.queue.ExpectedWait(now, newTicket(c)) + g.durations.Slow(c.Route, now)).After(g.end)
+// endsTooLate reports whether a call that may run only once and is sent to the target at start is not expected to end before the node
+// stops; it is called with mu held.
+func (g *Gate) endsTooLate(start time.Time, c *hop.Call) bool {
+	return !g.end.IsZero() && !c.Idempotent && start.Add(g.durations.Slow(c.Route, start)).After(g.end)
 }
 
 // Close refuses new calls and request bodies from now on; calls that run or are queued continue.
