settings: limits of memory and descriptors for nodes, stand-in stores and targets

Only `cassialead platform` reads limits of its process. The defaults are those of the smallest VM, 184 MB and 4,100. Nothing applies them yet: they come first so that tests can lower them on the code as it stands.

--- a/cmds/standin.go
+++ b/cmds/standin.go
@@ -9,6 +9,7 @@
 	"github.com/cockroachdb/errors"
 	"github.com/spf13/cobra"
 
+	"github.com/cassialead/cassialead/settings"
 	"github.com/cassialead/cassialead/standin"
 )
 
@@ -18,9 +19,23 @@
 	return cmd
 }
 
+// limitFlags are the flags for the resources of a process.
+type limitFlags struct{ memoryMB, descriptors int }
+
+func (l *limitFlags) register(cmd *cobra.Command) {
+	cmd.Flags().IntVar(&l.memoryMB, "memory", settings.DefaultMemoryMB, "memory of the process in MB")
+	cmd.Flags().IntVar(&l.descriptors, "descriptors", settings.DefaultDescriptors, "number of open files and connections")
+}
+
+// limits returns the limits that the flags name.
+func (l *limitFlags) limits() settings.Limits {
+	return settings.Limits{MemoryBytes: int64(l.memoryMB) << 20, Descriptors: l.descriptors}
+}
+
 func (a *app) standinStore() *cobra.Command {
 	var listen string
 	var reads, writes int
+	var limits limitFlags
 	cmd := &cobra.Command{
 		Use:     "store",
 		Short:   "Run an in-memory key-value service; PUT /standin/faults sets its faults",
@@ -46,18 +61,20 @@
 	cmd.Flags().StringVar(&listen, "listen", "127.0.0.1:8500", "loopback address to listen on")
 	cmd.Flags().IntVar(&reads, "reads", 2000, "reads accepted per second")
 	cmd.Flags().IntVar(&writes, "writes", 400, "writes accepted per second")
+	limits.register(cmd)
 	return cmd
 }
 
 func (a *app) standinTarget() *cobra.Command {
 	var cfg standin.TargetSettings
+	var limits limitFlags
 	cmd := &cobra.Command{
 		Use:     "target",
 		Short:   "Run a target that registers at --node; PUT /standin/faults sets its faults",
 		Example: "  cassialead standin target --service stock-and-calendar --slots 9 --node 127.0.0.1:9003",
 		Args:    cobra.NoArgs,
 		RunE: func(cmd *cobra.Command, _ []string) error {
-			cfg.NodeAddress = a.nodeAddress
+			cfg.NodeAddress, cfg.Limits = a.nodeAddress, limits.limits()
 			t, err := standin.NewTarget(cfg)
 			if err != nil {
 				return err
@@ -74,6 +91,7 @@
 	f.IntVar(&cfg.Connections, "connections", 120, "maximum number of open connections")
 	f.DurationVar(&cfg.ServiceTime, "work", 2*time.Millisecond, "service time of a call without ?work=")
 	f.DurationVar(&cfg.WarmUp, "cold-start", 0, "warm-up period after the start, in which calls take ten times as long")
+	limits.register(cmd)
 	_ = cmd.MarkFlagRequired("service")
 	return cmd
 }
--- a/settings/node.go
+++ b/settings/node.go
@@ -34,6 +34,8 @@
 	LogFormat string
 	// DrainTimeout limits how long shutdown waits for calls in flight; zero means until the calls' own deadlines.
 	DrainTimeout time.Duration
+	// Limits are the resources of the process.
+	Limits Limits
 }
 
 // ErrUnreadable means that a settings file can't be opened or read.
@@ -71,6 +73,8 @@
 		LogFormat:    p.choice("node", "log", "text", "json"),
 		DrainTimeout: p.duration("node", "drain"),
 		StoreURL:     p.url("store", "address"),
+		Limits: Limits{MemoryBytes: int64(p.count("limits", "memory", leastMemoryMB)) << 20,
+			Descriptors: p.count("limits", "descriptors", leastDescriptors)},
 	}
 	p.checkDistinctAddresses(n)
 	p.reportUnknownKeys()
@@ -171,6 +175,20 @@
 	return d
 }
 
+// count returns a whole number that is at least least, or zero if the key is absent.
+func (p *parser) count(section, key string, least int) int {
+	v := p.takeValue(section, key)
+	if v == "" {
+		return 0
+	}
+	n, err := strconv.Atoi(v)
+	if err != nil || n < least || n > maxCount {
+		p.fail(section, key, fmt.Sprintf("want a whole number from %d to %d, got %q", least, maxCount, v))
+		return 0
+	}
+	return n
+}
+
 func (p *parser) url(section, key string) string {
 	v := p.required(section, key)
 	if v == "" {
@@ -198,8 +216,8 @@
 
 func (p *parser) reportUnknownKeys() {
 	for section, keys := range p.values {
-		if section != "node" && section != "store" {
-			p.fail(section, "", "unknown section; want node or store")
+		if section != "node" && section != "store" && section != "limits" {
+			p.fail(section, "", "unknown section; want node, store or limits")
 			continue
 		}
 		for key := range keys {
--- a/settings/node_test.go
+++ b/settings/node_test.go
@@ -52,10 +52,21 @@
 		}
 	})
 
+	It("have the limits of the smallest VM unless they name others", func() {
+		n, err := settings.ParseNode("node.ini", []byte(valid))
+		Expect(err).NotTo(HaveOccurred())
+		Expect(n.Limits.OrDefault()).To(Equal(settings.Limits{MemoryBytes: 184 << 20, Descriptors: 4100}))
+		n, err = settings.ParseNode("node.ini", []byte(valid+"[limits]\nmemory = 64\ndescriptors = 400\n"))
+		Expect(err).NotTo(HaveOccurred())
+		Expect(n.Limits).To(Equal(settings.Limits{MemoryBytes: 64 << 20, Descriptors: 400}))
+	})
+
 	cases := map[string]struct{ extra, want string }{
-		"an unknown key":      {"colour = red\n", `node.ini: section [store]: key "colour": unknown key`},
-		"an unknown section":  {"[cluster]\n", "node.ini: section [cluster]: unknown section"},
-		"a duplicate section": {"[node]\nvm = b\n", "node.ini: section [node]: the section appears more than once"},
+		"too little memory":        {"[limits]\nmemory = 16\n", `node.ini: section [limits]: key "memory": want a whole number from 48 to 1048576, got "16"`},
+		"a limit without a number": {"[limits]\ndescriptors = many\n", `node.ini: section [limits]: key "descriptors": want a whole number`},
+		"an unknown key":           {"colour = red\n", `node.ini: section [store]: key "colour": unknown key`},
+		"an unknown section":       {"[cluster]\n", "node.ini: section [cluster]: unknown section"},
+		"a duplicate section":      {"[node]\nvm = b\n", "node.ini: section [node]: the section appears more than once"},
 	}
 	for name, c := range cases {
 		It("are rejected with "+name, func() {
--- a/standin/target.go
+++ b/standin/target.go
@@ -13,6 +13,8 @@
 	"time"
 
 	"github.com/gorilla/mux"
+
+	"github.com/cassialead/cassialead/settings"
 )
 
 const (
@@ -51,6 +53,8 @@
 	MaxConcurrency int
 	// WarmUp is the time after the target's start during which calls take ten times as long.
 	WarmUp time.Duration
+	// Limits are the resources of the target's process.
+	Limits settings.Limits
 }
 
 // Target is a simulated target. A call's query chooses its service time (?work=20ms) and the size of its response (?bytes=N).
