soak: misbehaving clients at all processes, and the kernel's memory of their connections

What users saw: a process that the README starts by hand ends when clients of the machine send heads without end, bodies that stop or requests ahead. The tests so far reach the platform's node only, and leave out what the kernel holds for connections.

A trial of the last form was ended by the kernel: each of 1,000 writers held a copy of the 64 MiB text; they share one now.

--- a/soak/door_test.go
+++ b/soak/door_test.go
@@ -2,7 +2,7 @@
 
 import (
 	"bufio"
-	"bytes"
+	"cmp"
 	"context"
 	"encoding/json"
 	"fmt"
@@ -10,15 +10,14 @@
 	"net"
 	"net/http"
 	"os"
-	"os/exec"
 	"path/filepath"
 	"strconv"
 	"strings"
 	"sync/atomic"
-	"syscall"
 	"testing"
 	"time"
 
+	"github.com/cassialead/cassialead/config"
 	"github.com/cassialead/cassialead/fleet"
 	"github.com/cassialead/cassialead/platform"
 	"github.com/cassialead/cassialead/platform/standin"
@@ -37,11 +36,21 @@
 
 // doorNode is a node process with the target and the store that it needs.
 type doorNode struct {
-	t       *testing.T
+	*process
 	cfg     settings.Agent
 	metrics string
-	cmd     *exec.Cmd
-	exited  chan struct{}
+	store   *standin.Store
+}
+
+// doorOptions are the settings of a node under test.
+type doorOptions struct {
+	memoryMB    int64
+	descriptors int
+	maxBody     int
+	store       *standin.Store     // of the other nodes; nil for a new one
+	vm          fleet.NodeID       // "vm-door" if empty
+	service     config.ServiceName // of its target; "stock" if empty
+	host        string             // address of its listeners; a loopback address of the test process if empty
 }
 
 // startDoorNode starts a node process and waits until it serves.
@@ -50,9 +59,19 @@
 // startDoorNodeWith is startDoorNode with other limits of memory and of a body.
 func startDoorNodeWith(t *testing.T, memoryMB int64, maxBody int) *doorNode {
 	t.Helper()
-	store := standin.NewStore()
-	t.Cleanup(store.Close)
-	store.Put("op/config", doorPlan(t, maxBody))
+	n := launchDoorNode(t, doorOptions{memoryMB: memoryMB, descriptors: doorDescriptors, maxBody: maxBody})
+	n.awaitServing()
+	return n
+}
+
+// launchDoorNode starts a node process.
+func launchDoorNode(t *testing.T, o doorOptions) *doorNode {
+	t.Helper()
+	if o.store == nil {
+		o.store = standin.NewStore()
+		t.Cleanup(o.store.Close)
+		o.store.Put("op/config", doorPlan(t, o.maxBody))
+	}
 	target := &http.Server{Handler: http.HandlerFunc(serveDoorTarget)}
 	l, err := net.Listen("tcp4", "127.0.0.1:0")
 	if err != nil {
@@ -60,52 +79,35 @@
 	}
 	go func() { _ = target.Serve(l) }()
 	t.Cleanup(func() { _ = target.Close() })
-	host := standin.LoopbackIP()
+	host := cmp.Or(o.host, standin.LoopbackIP())
 	addresses := make([]fleet.Address, 5)
 	for i := range addresses {
 		addresses[i] = fleet.Address(fmt.Sprintf("%s:%d", host, doorPorts.Add(1)))
 	}
-	n := &doorNode{t: t, metrics: string(addresses[4]), exited: make(chan struct{})}
-	n.cfg = settings.Agent{VM: "vm-door", DataCentre: "dc", Region: "r", CallAddress: addresses[0], LinkAddress: addresses[1], ReadinessAddress: addresses[2],
-		ControlAddress: addresses[3], AdvertisedAddress: addresses[1], Service: "stock", TargetAddress: fleet.Address(l.Addr().String()),
-		StoreAddress: fleet.Address(store.Address()), HeartbeatInterval: time.Second, ShutdownGrace: 6 * time.Second, DrainPeriod: 2 * time.Second,
+	n := &doorNode{metrics: string(addresses[4]), store: o.store}
+	n.cfg = settings.Agent{VM: cmp.Or(o.vm, "vm-door"), DataCentre: "dc", Region: "r", CallAddress: addresses[0], LinkAddress: addresses[1], ReadinessAddress: addresses[2],
+		ControlAddress: addresses[3], AdvertisedAddress: addresses[1], Service: cmp.Or(o.service, "stock"), TargetAddress: fleet.Address(l.Addr().String()),
+		StoreAddress: fleet.Address(o.store.Address()), HeartbeatInterval: time.Second, ShutdownGrace: 6 * time.Second, DrainPeriod: 2 * time.Second,
 		ApplyTime: 2 * time.Second, RetryBudgetRatio: 0.2, RetryBudgetSlack: 60, RetryBudgetWindow: 10 * time.Second, MinLease: time.Second,
-		MemoryLimitBytes: memoryMB << 20}
+		MemoryLimitBytes: o.memoryMB << 20, MaxDescriptors: o.descriptors}
 	_, port, _ := net.SplitHostPort(n.metrics)
 	last, _ := strconv.Atoi(port)
-	text := platform.FormatSettings(n.cfg) + fmt.Sprintf("limits.maxFds=%d\ninternalPorts=%d,%d\n", doorDescriptors, last-1, last)
+	text := platform.FormatSettings(n.cfg) + fmt.Sprintf("internalPorts=%d,%d\n", last-1, last)
 	file := filepath.Join(t.TempDir(), "node.conf")
 	if err := os.WriteFile(file, []byte(text), 0o600); err != nil {
 		t.Fatal(err)
 	}
-	program, err := os.Executable()
-	if err != nil {
-		t.Fatal(err)
-	}
-	n.cmd = exec.Command(program)
-	n.cmd.Env = append(os.Environ(), nodeEnv+"=1", platform.SettingsVariable+"="+file)
-	log, err := os.Create(filepath.Join(os.TempDir(), "door-"+strings.ReplaceAll(t.Name(), "/", "-")+".log"))
-	if err != nil {
-		t.Fatal(err)
-	}
-	n.cmd.Stdout, n.cmd.Stderr = log, log
-	if err := n.cmd.Start(); err != nil {
-		t.Fatal(err)
-	}
-	go func() {
-		_ = n.cmd.Wait() // a killed process returns an error
-		close(n.exited)
-	}()
-	t.Cleanup(func() {
-		_ = n.cmd.Process.Signal(syscall.SIGKILL)
-		<-n.exited
-		_ = log.Close()
-	})
+	n.process = startProcess(t, string(o.vm), nodeEnv+"=1", platform.SettingsVariable+"="+file)
 	go n.sendHeartbeats()
+	return n
+}
+
+// awaitServing waits until the node serves.
+func (n *doorNode) awaitServing() {
+	n.t.Helper()
 	if status := n.retryOrdinary(20 * time.Second); status != http.StatusOK {
-		t.Fatalf("the node does not serve without a crowd: %d", status)
+		n.t.Fatalf("the node does not serve without a crowd: %d", status)
 	}
-	return n
 }
 
 var doorPorts atomic.Int64
@@ -144,8 +146,8 @@
 func (n *doorNode) sendHeartbeats() {
 	born := time.Now().UnixMilli()
 	for sequence := 1; ; sequence++ {
-		body := fmt.Sprintf(`{"born":%d,"address":%q,"info":{"service":"stock","version":"v1","zone":"dc","slots":9},"status":{"state":"ready","sequence":%d,"coldLeftS":0}}`,
-			born, n.cfg.TargetAddress, sequence)
+		body := fmt.Sprintf(`{"born":%d,"address":%q,"info":{"service":%q,"version":"v1","zone":"dc","slots":9},"status":{"state":"ready","sequence":%d,"coldLeftS":0}}`,
+			born, n.cfg.TargetAddress, n.cfg.Service, sequence)
 		ctx, cancel := context.WithTimeout(context.Background(), time.Second)
 		r, _ := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+string(n.cfg.ControlAddress)+"/api/Instances.Heartbeat/i-0", strings.NewReader(body))
 		if resp, err := http.DefaultClient.Do(r); err == nil {
@@ -191,80 +193,67 @@
 	return resp.StatusCode
 }
 
-// retryOrdinary repeats a short request until it is answered.
-func (n *doorNode) retryOrdinary(patience time.Duration) int {
-	status := 0
-	for end := time.Now().Add(patience); time.Now().Before(end) && status != http.StatusOK; time.Sleep(200 * time.Millisecond) {
-		status = n.ordinary(1, make([]byte, 2000), 0)
-	}
-	return status
-}
+// request sends a short request and returns the status of the answer.
+func (n *doorNode) request() int { return n.ordinary(1, make([]byte, 2000), 0) }
 
-// residentPeak returns the largest resident memory of the process so far, in bytes.
-func (n *doorNode) residentPeak() int {
-	status, _ := os.ReadFile(fmt.Sprintf("/proc/%d/status", n.cmd.Process.Pid))
-	s := bufio.NewScanner(bytes.NewReader(status))
-	for s.Scan() {
-		if f := strings.Fields(s.Text()); len(f) > 1 && f[0] == "VmHWM:" {
-			kb, _ := strconv.Atoi(f[1])
-			return kb << 10
-		}
-	}
-	return 0
-}
+// retryOrdinary repeats a short request until it is answered.
+func (n *doorNode) retryOrdinary(patience time.Duration) int { return retry(patience, n.request) }
 
-func (n *doorNode) descriptors() int {
-	entries, _ := os.ReadDir(fmt.Sprintf("/proc/%d/fd", n.cmd.Process.Pid))
-	return len(entries)
+// crowd opens connections to an address and sends text on each, without reading; the connections stay open until the test ends.
+func (p *process) crowd(count int, address fleet.Address, text string) {
+	p.crowdFrom(func(int) net.IP { return nil }, count, address, text)
 }
 
-// check expects the process within its bounds and an ordinary request to be answered.
-func (n *doorNode) check() {
-	n.t.Helper()
-	most := 0
-	for end := time.Now().Add(doorSettle); time.Now().Before(end); time.Sleep(20 * time.Millisecond) {
-		most = max(most, n.descriptors())
-	}
-	status := n.retryOrdinary(doorPatience)
-	select {
-	case <-n.exited:
-		n.t.Fatal("the process has ended")
-	default:
-	}
-	peak := n.residentPeak()
-	n.t.Logf("resident peak %.1f MB, descriptors %d, ordinary request %d", float64(peak)/(1<<20), most, status)
-	if peak == 0 || peak > doorMemoryMB<<20 {
-		n.t.Errorf("resident memory of %d bytes, want at most %d MB", peak, doorMemoryMB)
-	}
-	if most > doorDescriptors {
-		n.t.Errorf("%d open descriptors, want at most %d", most, doorDescriptors)
-	}
-	if status != http.StatusOK {
-		n.t.Errorf("the ordinary request got %d, want 200", status)
+// crowdFrom is crowd with the local address of each connection.
+func (p *process) crowdFrom(local func(i int) net.IP, count int, address fleet.Address, text string) {
+	b := []byte(text)
+	for i := range count {
+		d := net.Dialer{Timeout: 5 * time.Second}
+		if ip := local(i); ip != nil {
+			d.LocalAddr = &net.TCPAddr{IP: ip}
+		}
+		conn, err := d.Dial("tcp4", string(address))
+		if err != nil {
+			continue
+		}
+		p.t.Cleanup(func() { _ = conn.Close() })
+		_ = conn.(*net.TCPConn).SetReadBuffer(4 << 10)
+		if p.writeBuffer > 0 {
+			_ = conn.(*net.TCPConn).SetWriteBuffer(p.writeBuffer)
+		}
+		go func() { _, _ = conn.Write(b) }() // fails if the process closes the connection
 	}
 }
 
-// crowd opens connections to an address and sends text on each, without reading; the connections stay open until the test ends.
-func (n *doorNode) crowd(count int, address fleet.Address, text string) {
+// upgradedCrowd is crowd with further text once the first byte of the answer to the handshake has arrived.
+func (p *process) upgradedCrowd(count int, address fleet.Address, handshake, text string) {
+	b := []byte(text)
 	for range count {
 		conn, err := net.DialTimeout("tcp4", string(address), 5*time.Second)
 		if err != nil {
 			continue
 		}
-		n.t.Cleanup(func() { _ = conn.Close() })
-		_ = conn.(*net.TCPConn).SetReadBuffer(4 << 10)
-		go func() { _, _ = io.WriteString(conn, text) }() // fails if the node closes the connection
+		p.t.Cleanup(func() { _ = conn.Close() })
+		go func() {
+			_, err := io.WriteString(conn, handshake)
+			if err == nil {
+				_, err = conn.Read(make([]byte, 1))
+			}
+			if err == nil {
+				_, _ = conn.Write(b) // fails if the process closes the connection
+			}
+		}()
 	}
 }
 
 // trickle is crowd with one byte of a body every 100 ms after the text.
-func (n *doorNode) trickle(count int, address fleet.Address, text string) {
+func (p *process) trickle(count int, address fleet.Address, text string) {
 	for range count {
 		conn, err := net.DialTimeout("tcp4", string(address), 5*time.Second)
 		if err != nil {
 			continue
 		}
-		n.t.Cleanup(func() { _ = conn.Close() })
+		p.t.Cleanup(func() { _ = conn.Close() })
 		go func() {
 			_, err := io.WriteString(conn, text)
 			for ; err == nil; time.Sleep(100 * time.Millisecond) {
@@ -359,7 +348,7 @@
 		t.Run(name, func(t *testing.T) {
 			n := startDoorNode(t)
 			attack(n)
-			n.check()
+			n.check(n.request)
 		})
 	}
 }
--- /dev/null
+++ b/soak/doorfleet_test.go
@@ -0,0 +1,160 @@
+package soak_test
+
+import (
+	"bufio"
+	"bytes"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"os"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/cassialead/cassialead/hop"
+	"github.com/cassialead/cassialead/platform/standin"
+)
+
+// secondHost is the address of a second VM.
+func secondHost() string { return strings.TrimSuffix(standin.LoopbackIP(), ".1") + ".2" }
+
+// launchSecondNode starts a node on another address, whose target is of another service.
+func launchSecondNode(t *testing.T, n *doorNode) *doorNode {
+	return launchDoorNode(t, doorOptions{memoryMB: doorMemoryMB, descriptors: doorDescriptors, maxBody: doorBody, store: n.store, vm: "vm-door-2",
+		service: "orders", host: secondHost()})
+}
+
+// forgedCalls returns calls of a node that doesn't exist.
+func forgedCalls(n *doorNode, count int) string {
+	h := http.Header{}
+	now := time.Now()
+	hop.WriteCall(h, &hop.Call{ID: "forged", Route: "r", Service: "stock", Instance: "i-0", Origin: "stock", Idempotent: true, Deadline: now.Add(time.Minute),
+		SoftDeadline: now.Add(time.Minute)}, now)
+	var b bytes.Buffer
+	for range count {
+		b.WriteString("GET /stock/1 HTTP/1.1\r\nHost: a.example\r\nRequest-Id: forged\r\n")
+		_ = h.Write(&b)
+		b.WriteString("\r\n")
+	}
+	return b.String()
+}
+
+// A client that forged calls of nodes filled the share of connections of the other nodes, which were refused from then on.
+func TestDoorForgedCalls(t *testing.T) {
+	for name, calls := range map[string]int{"answered": 1, "unread": 5000} {
+		t.Run(name, func(t *testing.T) {
+			n := startDoorNode(t)
+			n.crowd(doorCrowd, n.cfg.LinkAddress, forgedCalls(n, calls))
+			second := launchSecondNode(t, n)
+			second.check(second.request)
+			n.check(n.request)
+		})
+	}
+}
+
+// Each form guards against a process that misbehaving clients reach at another moment, from elsewhere or in another way than those
+// of TestDoorMisbehaviour.
+func TestDoorCircumstances(t *testing.T) {
+	stopped := withLength("/stock/1", doorBody, doorBody-1)
+	for name, run := range map[string]func(*testing.T){
+		"while a node starts": func(t *testing.T) {
+			n := launchDoorNode(t, doorOptions{memoryMB: doorMemoryMB, descriptors: doorDescriptors, maxBody: doorBody})
+			for opened := false; !opened; time.Sleep(time.Millisecond) {
+				conn, err := net.Dial("tcp4", string(n.cfg.CallAddress))
+				if opened = err == nil; opened {
+					_ = conn.Close()
+				}
+			}
+			n.crowd(doorCrowd, n.cfg.CallAddress, stopped)
+			n.crowd(doorCrowd, n.cfg.LinkAddress, withLength("/cassialead/view", 4<<20, 1<<20))
+			n.awaitServing()
+			n.check(n.request)
+		},
+		"at all nodes at once": func(t *testing.T) {
+			n := startDoorNode(t)
+			second := launchSecondNode(t, n)
+			second.awaitServing()
+			for _, node := range []*doorNode{n, second} {
+				node.crowd(doorCrowd, node.cfg.CallAddress, stopped)
+				node.crowd(doorCrowd, node.cfg.LinkAddress, inChunks("/cassialead/demand", 900<<10))
+			}
+			n.check(n.request)
+			second.check(second.request)
+		},
+		"through another node": func(t *testing.T) {
+			n := startDoorNode(t)
+			second := launchSecondNode(t, n)
+			second.awaitServing()
+			second.crowd(doorCrowd, second.cfg.CallAddress, pipeline("/stock/big", "Request-Id: m\r\n", 2000))
+			n.check(n.request)
+			second.check(second.request)
+		},
+		"beside a store that is away": func(t *testing.T) {
+			n := startDoorNode(t)
+			n.store.SetFaults(standin.Faults{NoResponse: true})
+			n.crowd(doorCrowd, n.cfg.CallAddress, stopped)
+			n.check(n.request)
+		},
+		"from many addresses": func(t *testing.T) {
+			n := startDoorNode(t)
+			from := func(i int) net.IP { return net.IPv4(127, 200, byte(i>>8), byte(1+i%250)) }
+			n.crowdFrom(from, doorCrowd, n.cfg.CallAddress, stopped)
+			n.crowdFrom(from, doorCrowd, n.cfg.LinkAddress, strings.TrimSuffix(head("/none", shortFields(9000)), "\r\n"))
+			n.check(n.request)
+		},
+		"legal requests at a high rate": func(t *testing.T) {
+			n := startDoorNode(t)
+			var wait sync.WaitGroup
+			for range doorCrowd {
+				wait.Go(func() { readAnswers(n, 100) })
+			}
+			wait.Wait()
+			n.check(n.request)
+		},
+		"with connections that are closed at once": func(t *testing.T) {
+			n := startDoorNode(t)
+			for range 5 {
+				n.crowd(doorCrowd, n.cfg.CallAddress, "")
+				n.crowd(doorCrowd, n.cfg.ControlAddress, "")
+			}
+			n.check(n.request)
+			if info, err := os.Stat(n.log); err != nil || info.Size() > doorLog {
+				t.Errorf("log of %v bytes (%v), want at most %d", info.Size(), err, doorLog)
+			}
+		},
+	} {
+		t.Run(name, run)
+	}
+}
+
+// doorLog bounds the log of a node during a form: 15 lines a second of each event that a connection can cause.
+const doorLog = 512 << 10
+
+// readAnswers sends requests with short bodies on one connection after another and reads their answers.
+func readAnswers(n *doorNode, count int) {
+	var conn net.Conn
+	for i := range count {
+		if conn == nil {
+			var err error
+			if conn, err = net.DialTimeout("tcp4", string(n.cfg.CallAddress), 5*time.Second); err != nil {
+				return
+			}
+		}
+		_ = conn.SetDeadline(time.Now().Add(5 * time.Second))
+		body := strings.Repeat("x", 16<<10)
+		_, err := io.WriteString(conn, head("/stock/1", fmt.Sprintf("Content-Length: %d\r\n", len(body)))+body)
+		var resp *http.Response
+		if err == nil {
+			resp, err = http.ReadResponse(bufio.NewReader(conn), nil)
+		}
+		if err == nil {
+			_, err = io.Copy(io.Discard, resp.Body)
+		}
+		if err != nil || resp.Close || i == count-1 {
+			_ = conn.Close()
+			conn = nil
+		}
+	}
+}
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -5,6 +5,7 @@
 	"flag"
 	"fmt"
 	"os"
+	"strings"
 	"testing"
 	"time"
 
@@ -18,6 +19,9 @@
 // nodeEnv is the environment variable that makes the test binary run as a node.
 const nodeEnv = "CASSIALEAD_SOAK_NODE"
 
+// commandEnv is the environment variable with the command that the test binary runs.
+const commandEnv = "CASSIALEAD_SOAK_COMMAND"
+
 var (
 	firstSeed = flag.Uint64("soak.seed", 1, "first seed of the soak")
 	seeds     = flag.Uint64("soak.seeds", 1, "number of seeds")
@@ -36,6 +40,9 @@
 	if os.Getenv(nodeEnv) != "" {
 		os.Exit(cmds.Run([]string{"platform"}, os.Stdout, os.Stderr))
 	}
+	if args := os.Getenv(commandEnv); args != "" {
+		os.Exit(cmds.Run(strings.Fields(args), os.Stdout, os.Stderr))
+	}
 	os.Exit(m.Run())
 }
 
