listener: the servers of a process share its limits on clients

No change of behaviour. The connections that count their heads, the reader of bodies and the writer of long answers were part of the agent, so that no other process could have them. They are a package of their own now: a Guard holds the memory of a process and serves HTTP within it; the agent maps its errors to causes.

--- a/agent/agent.go
+++ b/agent/agent.go
@@ -22,6 +22,7 @@
 	"github.com/cassialead/cassialead/gate"
 	"github.com/cassialead/cassialead/hop"
 	"github.com/cassialead/cassialead/lifecycle"
+	"github.com/cassialead/cassialead/listener"
 	"github.com/cassialead/cassialead/member"
 	"github.com/cassialead/cassialead/platform"
 	"github.com/cassialead/cassialead/quota"
@@ -72,7 +73,7 @@
 	syncMu              sync.Mutex                     // guards planBurst, and is held while the store is read
 	planBurst           bool                           // configurations change faster than they can be watched
 	inflight            inflight
-	memory              *door.Budget // for what clients send and don't read
+	guard               *listener.Guard
 	quotas              quotas
 	servers             []*http.Server
 }
@@ -81,8 +82,7 @@
 func New(cfg settings.Agent, deps Deps) *Agent {
 	a := &Agent{deps: deps, startedAt: deps.Now(), times: newSyncTimes(cfg.ApplyTime), view: member.NewView(), changed: make(chan struct{}), excludedUntil: map[fleet.NodeID]time.Time{}, transport: hop.NewTransport(deps.Now)}
 	a.cfg.Store(&cfg)
-	a.memory = door.NewBudget(door.Bytes(cfg.MemoryLimitBytes), deps.Now)
-	deps.Metrics.GetOrCreateGauge("cassialead_request_memory_bytes", func() float64 { return float64(a.memory.Used()) })
+	a.guard = listener.New(door.Bytes(cfg.MemoryLimitBytes), listener.Deps{Log: deps.Log, Metrics: deps.Metrics, Now: deps.Now})
 	a.storeContact.Store(int64(-a.times.stale)) // no contact yet
 	a.position.Store(&store.Position{})
 	a.quotas.limiter = quota.NewLimiter(quota.Rules{Window: cfg.QuotaWindow, Over: cfg.QuotaOver, Slack: cfg.QuotaSlack}, rand.Float64)
@@ -95,7 +95,7 @@
 	a.registrar = newRegistrar(a)
 	deps.Metrics.GetOrCreateGauge("cassialead_store_age_seconds", func() float64 { return a.storeAge().Seconds() })
 	deps.Metrics.GetOrCreateGauge("cassialead_store_revision", func() float64 { return float64(a.position.Load().Revision) })
-	a.peerClient = &http.Client{Transport: &http.Transport{DialContext: (&net.Dialer{Timeout: peerTimeout}).DialContext, DisableKeepAlives: true, MaxResponseHeaderBytes: maxHeaderBytes},
+	a.peerClient = &http.Client{Transport: &http.Transport{DialContext: (&net.Dialer{Timeout: peerTimeout}).DialContext, DisableKeepAlives: true, MaxResponseHeaderBytes: listener.MaxHeaderBytes},
 		Timeout: peerTimeout}
 	return a
 }
@@ -297,26 +297,12 @@
 		if err != nil {
 			return errors.Wrapf(err, "open %s listener", s.name)
 		}
-		server := &http.Server{Handler: limitUnread(s.handler, s.unread), ConnState: stateChanged, ErrorLog: slog.NewLogLogger(a.deps.Log.Handler(), slog.LevelDebug),
-			MaxHeaderBytes: maxHeaderBytes, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout,
-			ConnContext: func(ctx context.Context, c net.Conn) context.Context {
-				return context.WithValue(ctx, connectionKey{}, c.(*doorConn))
-			}}
-		a.servers = append(a.servers, server)
-		go func() {
-			if err := server.Serve(a.newDoorListener(l, s.name, s.limit)); !errors.Is(err, http.ErrServerClosed) {
-				a.deps.Log.Error("server stopped unexpectedly", "server", s.name, "error", err)
-			}
-		}()
+		a.servers = append(a.servers, a.guard.Serve(l, listener.Server{Name: s.name, Handler: s.handler, Connections: s.limit, Unread: s.unread}))
 	}
 	return nil
 }
 
-const (
-	maxHeaderBytes = 64 << 10         // bytes of a request or response header, above any limit that a configuration sets for callers
-	headerTimeout  = 10 * time.Second // above any limit that a configuration sets for callers
-	idleTimeout    = 2 * time.Minute  // above any limit that a configuration sets for callers
-)
+const unreadTimeout = 2 * time.Second // for a body that a handler does not ask for or reads as a short message
 
 // planVersion returns the configuration version in force, or zero.
 func (a *Agent) planVersion() config.Version {
--- a/agent/peer.go
+++ b/agent/peer.go
@@ -19,6 +19,7 @@
 	"github.com/cassialead/cassialead/feed"
 	"github.com/cassialead/cassialead/fleet"
 	"github.com/cassialead/cassialead/hop"
+	"github.com/cassialead/cassialead/listener"
 	"github.com/cassialead/cassialead/member"
 	"github.com/cassialead/cassialead/upgrade"
 )
@@ -62,8 +63,8 @@
 		w.WriteHeader(http.StatusBadRequest)
 		return
 	}
-	conn := connection(r.Context())
-	conn.socket.Keep()
+	conn := listener.FromContext(r.Context())
+	conn.Keep()
 	_ = conn.SetReadDeadline(time.Time{}) // the body may wait for the downlink until the call's deadline
 	interim := &interimWriter{w: w}
 	timer := time.AfterFunc(hop.AckDelay(), interim.sendProcessing)
@@ -93,13 +94,13 @@
 // runCall runs a call from another node on the target; it returns nil if the body was not received completely.
 func (a *Agent) runCall(r *http.Request, c *hop.Call, interim *interimWriter) hop.Outcome {
 	if c.ExpectContinue {
-		closed := func() bool { return exchange.PeerClosed(connection(r.Context())) }
+		closed := func() bool { return exchange.PeerClosed(listener.FromContext(r.Context())) }
 		if refused := a.gate.AdmitBody(r.Context(), c, int(r.ContentLength), closed); refused != nil {
 			return *refused
 		}
 		interim.sendContinue()
 	}
-	body, cause := a.readBody(r, peerBodyTimes(r.ContentLength), a.maxBody())
+	body, cause := readBody(r, peerBody(r.ContentLength, a.maxBody()))
 	switch {
 	case cause == hop.BodiesFull:
 		return hop.Refused{Cause: cause, RetryAfter: bodyMemoryRetry}
@@ -221,7 +222,7 @@
 // serveView returns an update to the requesting node, or applies one that another node has sent.
 func (a *Agent) serveView(w http.ResponseWriter, r *http.Request) {
 	if r.Method == http.MethodPost {
-		body, cause := a.readBody(r, peerBodyTimes(0), maxViewBytes)
+		body, cause := readBody(r, peerBody(0, maxViewBytes))
 		if cause != "" {
 			a.deps.Log.Warn("view update from a node not received", "from", r.RemoteAddr, "cause", cause)
 			w.WriteHeader(http.StatusBadRequest)
--- a/agent/quota.go
+++ b/agent/quota.go
@@ -251,7 +251,7 @@
 // serveDemand records the totals of another region and answers with the known ones.
 func (a *Agent) serveDemand(w http.ResponseWriter, r *http.Request) {
 	var in []quota.Total
-	body, cause := a.readBody(r, peerBodyTimes(r.ContentLength), maxDemandBytes)
+	body, cause := readBody(r, peerBody(r.ContentLength, maxDemandBytes))
 	if cause != "" {
 		a.deps.Log.Warn("demand of another region not received", "from", r.RemoteAddr, "cause", cause)
 		w.WriteHeader(http.StatusBadRequest)
--- a/agent/serve.go
+++ b/agent/serve.go
@@ -13,6 +13,7 @@
 	"github.com/cassialead/cassialead/dispatch"
 	"github.com/cassialead/cassialead/hop"
 	"github.com/cassialead/cassialead/lifecycle"
+	"github.com/cassialead/cassialead/listener"
 	"github.com/cassialead/cassialead/platform"
 )
 
@@ -37,7 +38,7 @@
 		return
 	}
 	adm, refused := a.dispatcher.Admit(request)
-	if refused == nil && a.memory.Pressed() && !a.continues(request) {
+	if refused == nil && a.guard.Memory().Pressed() && !a.continues(request) {
 		a.deps.Metrics.GetOrCreateCounter("cassialead_pressed_refusals_total").Inc()
 		refused = &hop.Refused{Cause: hop.BodiesFull, RetryAfter: bodyMemoryRetry}
 	}
@@ -52,7 +53,7 @@
 	}
 	body, cause := a.readRequestBody(r, request.Timeout)
 	if cause != "" {
-		a.deps.Log.Info("request rejected before dispatch", "call", request.ID, "cause", cause, "length", r.ContentLength, "held", a.memory.Used())
+		a.deps.Log.Info("request rejected before dispatch", "call", request.ID, "cause", cause, "length", r.ContentLength, "held", a.guard.Memory().Used())
 		o := hop.Refused{Cause: cause, RetryAfter: bodyMemoryRetry}
 		release(o)
 		writeOutcome(w, request.ID, o)
@@ -64,7 +65,7 @@
 	}
 	outcome := a.dispatcher.Do(r.Context(), request)
 	release(outcome)
-	writeOutcome(&heldWriter{ResponseWriter: w, conn: connection(r.Context())}, request.ID, outcome)
+	writeOutcome(listener.FromContext(r.Context()).Writer(w), request.ID, outcome)
 }
 
 // refuses reports whether the node is about to stop and takes no new request: only a call that the target makes for one that it is
@@ -186,7 +187,7 @@
 		a.refuseMessage(w, id, err)
 		return nil, false
 	}
-	return body, connection(r.Context()).bodyArrived()
+	return body, listener.FromContext(r.Context()).Arrived()
 }
 
 // refuseMessage answers a message that changes nothing.
--- a/agent/door.go
+++ b/listener/conn.go
@@ -1,4 +1,4 @@
-package agent
+package listener
 
 import (
 	"bytes"
@@ -16,63 +16,17 @@
 )
 
 const (
-	unreadTimeout = 2 * time.Second        // for a body that a handler doesn't ask for or reads as a short message
-	skipTimeout   = 500 * time.Millisecond // for the rest of a body after its answer
-	acceptPause   = 5 * time.Millisecond   // after a rejected connection, so that a flood of them leaves time for the others
+	skipTimeout = 500 * time.Millisecond // for the rest of a body after its answer
 )
 
 // expired is a deadline in the past.
 var expired = time.Unix(1, 0)
 
-// doorListener accepts connections within the limit of its table.
-type doorListener struct {
-	net.Listener
-	agent *Agent
-	name  string
-	table *door.Sockets
-}
-
-func (a *Agent) newDoorListener(l net.Listener, name string, limit door.Count) *doorListener {
-	d := &doorListener{Listener: l, agent: a, name: name, table: door.NewSockets(limit, a.deps.Now)}
-	a.deps.Metrics.GetOrCreateGauge(`cassialead_connections{listener="`+name+`"}`, func() float64 { return float64(d.table.Open()) })
-	return d
-}
-
-// Accept returns the next connection; it closes those for which there is no room.
-func (l *doorListener) Accept() (net.Conn, error) {
-	for {
-		nc, err := l.Listener.Accept()
-		if err != nil {
-			return nil, err
-		}
-		c := &doorConn{Conn: nc, agent: l.agent}
-		c.inHead.Store(true)
-		socket, verdict := l.table.Admit(func() { _ = nc.Close() })
-		if verdict != door.Accepted {
-			l.agent.countClosed(`cassialead_connections_closed_total{listener="`+l.name+`"}`, "connection closed, listener is full", "listener", l.name,
-				"from", nc.RemoteAddr(), "rejected", verdict == door.Rejected)
-		}
-		if verdict == door.Rejected {
-			_ = nc.Close()
-			time.Sleep(acceptPause)
-			continue
-		}
-		c.socket = socket
-		return c, nil
-	}
-}
-
-// countClosed counts and logs that a limit on clients has taken effect.
-func (a *Agent) countClosed(counter, message string, args ...any) {
-	a.deps.Metrics.GetOrCreateCounter(counter).Inc()
-	a.deps.Log.Info(message, args...)
-}
-
-// doorConn is an accepted connection. It accounts for the memory of the head that is being read and stops reading once its request
+// Conn is an accepted connection. It accounts for the memory of the head that is being read and stops reading once its request
 // has given way to others.
-type doorConn struct {
+type Conn struct {
 	net.Conn
-	agent   *Agent
+	guard   *Guard
 	socket  *door.Socket
 	evicted atomic.Bool
 	inHead  atomic.Bool
@@ -83,7 +37,7 @@
 }
 
 // Read reads from the connection and accounts for the bytes of a head.
-func (c *doorConn) Read(p []byte) (int, error) {
+func (c *Conn) Read(p []byte) (int, error) {
 	if c.evicted.Load() {
 		return 0, os.ErrDeadlineExceeded
 	}
@@ -99,7 +53,7 @@
 }
 
 // takeHead adds bytes of a head to its memory.
-func (c *doorConn) takeHead(p []byte) bool {
+func (c *Conn) takeHead(p []byte) bool {
 	before := door.HeadCost(c.size, c.lines)
 	c.size, c.lines = c.size+len(p), c.lines+bytes.Count(p, []byte{'\n'})
 	more := door.HeadCost(c.size, c.lines) - before
@@ -109,7 +63,7 @@
 	h := c.requestHold()
 	h.Progress(len(p))
 	if err := h.Take(more); err != nil {
-		c.agent.countClosed(`cassialead_requests_closed_total{held="head"}`, "head of a request not read, memory for requests is used up",
+		c.guard.countClosed(`cassialead_requests_closed_total{held="head"}`, "head of a request not read, memory for requests is used up",
 			"from", c.RemoteAddr(), "error", err)
 		return false
 	}
@@ -117,30 +71,30 @@
 }
 
 // requestHold returns the memory of the present request.
-func (c *doorConn) requestHold() *door.Hold {
+func (c *Conn) requestHold() *door.Hold {
 	if c.hold == nil {
-		c.hold = c.agent.memory.Open(c.stopReading)
+		c.hold = c.guard.memory.Open(c.stopReading)
 	}
 	return c.hold
 }
 
 // stopReading fails the present and all further reads.
-func (c *doorConn) stopReading() {
+func (c *Conn) stopReading() {
 	c.evicted.Store(true)
 	_ = c.Conn.SetReadDeadline(expired)
 }
 
 // logEvicted counts and logs that the present request or answer has given way. It is called by the goroutine that serves the
 // connection, since stopReading and stopWriting run under the budget's lock.
-func (c *doorConn) logEvicted(held string) {
-	c.agent.countClosed(`cassialead_requests_closed_total{held="`+held+`"}`, "request closed, it was stalled or slowest", "held", held, "from", c.RemoteAddr())
+func (c *Conn) logEvicted(held string) {
+	c.guard.countClosed(`cassialead_requests_closed_total{held="`+held+`"}`, "request closed, it was stalled or slowest", "held", held, "from", c.RemoteAddr())
 }
 
 // stopWriting fails an answer that its client does not read.
-func (c *doorConn) stopWriting() { _ = c.Conn.SetWriteDeadline(expired) }
+func (c *Conn) stopWriting() { _ = c.Conn.SetWriteDeadline(expired) }
 
 // SetReadDeadline sets the deadline of reads, unless the request has given way.
-func (c *doorConn) SetReadDeadline(t time.Time) error {
+func (c *Conn) SetReadDeadline(t time.Time) error {
 	err := c.Conn.SetReadDeadline(t)
 	if c.evicted.Load() {
 		_ = c.Conn.SetReadDeadline(expired)
@@ -149,13 +103,13 @@
 }
 
 // Close closes the connection.
-func (c *doorConn) Close() error {
+func (c *Conn) Close() error {
 	c.socket.Remove()
 	return c.Conn.Close()
 }
 
 // CloseWrite ends the sending side, so that a client that is still sending receives a refusal before the connection is reset.
-func (c *doorConn) CloseWrite() error {
+func (c *Conn) CloseWrite() error {
 	if w, ok := c.Conn.(interface{ CloseWrite() error }); ok {
 		return w.CloseWrite()
 	}
@@ -163,7 +117,7 @@
 }
 
 // SyscallConn returns the raw connection.
-func (c *doorConn) SyscallConn() (syscall.RawConn, error) {
+func (c *Conn) SyscallConn() (syscall.RawConn, error) {
 	sc, ok := c.Conn.(syscall.Conn)
 	if !ok {
 		return nil, errors.New("connection has no descriptor")
@@ -173,7 +127,7 @@
 
 // stateChanged follows the states that a server gives to its connections.
 func stateChanged(nc net.Conn, state http.ConnState) {
-	c := nc.(*doorConn)
+	c := nc.(*Conn)
 	switch state {
 	case http.StateIdle:
 		c.size, c.lines = 0, 0
@@ -190,25 +144,28 @@
 	}
 }
 
-func (c *doorConn) releaseHold() {
+func (c *Conn) releaseHold() {
 	if c.hold != nil {
 		c.hold.Release()
 		c.hold = nil
 	}
 }
 
-// connectionKey is the context key of a request's connection.
-type connectionKey struct{}
+// connKey is the context key of a request's connection.
+type connKey struct{}
 
-// connection returns the connection on which a request arrived.
-func connection(ctx context.Context) *doorConn {
-	c, _ := ctx.Value(connectionKey{}).(*doorConn)
+// FromContext returns the connection on which a request arrived, or nil if no Guard has accepted it.
+func FromContext(ctx context.Context) *Conn {
+	c, _ := ctx.Value(connKey{}).(*Conn)
 	return c
 }
 
-// bodyArrived records that a request has arrived completely, after which it runs and gives way to no other. It reports false if the
+// Keep excludes a connection of another node from those that are closed for new ones.
+func (c *Conn) Keep() { c.socket.Keep() }
+
+// Arrived records that a request has arrived completely, after which it runs and gives way to no other. It reports false if the
 // request has given way before.
-func (c *doorConn) bodyArrived() bool {
+func (c *Conn) Arrived() bool {
 	if c.hold != nil && c.hold.Pin() != nil {
 		return false
 	}
@@ -221,12 +178,12 @@
 // sets a deadline itself.
 func limitUnread(h http.Handler, unread time.Duration) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		c := connection(r.Context())
+		c := FromContext(r.Context())
 		c.inHead.Store(false)
 		defer c.releaseHold()
 		switch {
 		case r.ContentLength == 0:
-			if !c.bodyArrived() {
+			if !c.Arrived() {
 				panic(http.ErrAbortHandler)
 			}
 		case unread > 0:
@@ -246,10 +203,15 @@
 	answerPiece = 32 << 10 // bytes written between two records of progress
 )
 
+// Writer returns a writer of answers to a caller, which counts long ones as memory until the connection has taken them.
+func (c *Conn) Writer(w http.ResponseWriter) http.ResponseWriter {
+	return &heldWriter{ResponseWriter: w, conn: c}
+}
+
 // heldWriter writes answers to a caller. A long one counts as memory until the connection has taken it.
 type heldWriter struct {
 	http.ResponseWriter
-	conn *doorConn
+	conn *Conn
 }
 
 // Write writes p in pieces if it is long. Meanwhile its connection may be closed for a new one, since it waits for its client.
@@ -260,7 +222,7 @@
 	if len(p) < heldAnswer {
 		return w.ResponseWriter.Write(p)
 	}
-	h := w.conn.agent.memory.Open(w.conn.stopWriting)
+	h := w.conn.guard.memory.Open(w.conn.stopWriting)
 	defer h.Release()
 	if err := h.TakeAnswer(door.Bytes(len(p))); err != nil {
 		return 0, err
--- /dev/null
+++ b/listener/guard.go
@@ -0,0 +1,111 @@
+package listener
+
+import (
+	"context"
+	"log/slog"
+	"net"
+	"net/http"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+	"github.com/cockroachdb/errors"
+
+	"github.com/cassialead/cassialead/door"
+)
+
+// MaxHeaderBytes is the size of a request or response header above any limit that a configuration sets for callers.
+const MaxHeaderBytes = 64 << 10
+
+const (
+	headerTimeout = 10 * time.Second     // above any limit that a configuration sets for callers
+	idleTimeout   = 2 * time.Minute      // above any limit that a configuration sets for callers
+	acceptPause   = 5 * time.Millisecond // after a rejected connection, so that a flood of them leaves time for the others
+)
+
+// Deps are the dependencies of a Guard.
+type Deps struct {
+	Log     *slog.Logger
+	Metrics *metrics.Set
+	Now     func() time.Time
+}
+
+// Guard holds the limits that the servers of a process share.
+type Guard struct {
+	deps   Deps
+	memory *door.Budget
+}
+
+// New returns the limits of a process with the given memory; zero means no limit.
+func New(memory door.Bytes, deps Deps) *Guard {
+	g := &Guard{deps: deps, memory: door.NewBudget(memory, deps.Now)}
+	deps.Metrics.GetOrCreateGauge("cassialead_request_memory_bytes", func() float64 { return float64(g.memory.Used()) })
+	return g
+}
+
+// Memory returns the memory of what clients send and don't read.
+func (g *Guard) Memory() *door.Budget { return g.memory }
+
+// Server describes an HTTP server.
+type Server struct {
+	Name    string // in metrics and log lines
+	Handler http.Handler
+	// Connections is the number of connections that are open at a time.
+	Connections door.Count
+	// Unread is the time for a body from the beginning of its handler; zero if the handler sets a deadline.
+	Unread time.Duration
+}
+
+// Serve starts a server on l, whose connections bound each write, and returns it.
+func (g *Guard) Serve(l net.Listener, s Server) *http.Server {
+	table := door.NewSockets(s.Connections, g.deps.Now)
+	g.deps.Metrics.GetOrCreateGauge(`cassialead_connections{listener="`+s.Name+`"}`, func() float64 { return float64(table.Open()) })
+	server := &http.Server{Handler: limitUnread(s.Handler, s.Unread), ConnState: stateChanged, ErrorLog: slog.NewLogLogger(g.deps.Log.Handler(), slog.LevelDebug),
+		MaxHeaderBytes: MaxHeaderBytes, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout,
+		ConnContext: func(ctx context.Context, c net.Conn) context.Context {
+			return context.WithValue(ctx, connKey{}, c.(*Conn))
+		}}
+	go func() {
+		if err := server.Serve(&limited{Listener: l, guard: g, name: s.Name, table: table}); !errors.Is(err, http.ErrServerClosed) {
+			g.deps.Log.Error("server stopped unexpectedly", "server", s.Name, "error", err)
+		}
+	}()
+	return server
+}
+
+// limited accepts connections within the limit of its table.
+type limited struct {
+	net.Listener
+	guard *Guard
+	name  string
+	table *door.Sockets
+}
+
+// Accept returns the next connection; it closes those for which there is no room.
+func (l *limited) Accept() (net.Conn, error) {
+	for {
+		nc, err := l.Listener.Accept()
+		if err != nil {
+			return nil, err
+		}
+		c := &Conn{Conn: nc, guard: l.guard}
+		c.inHead.Store(true)
+		socket, verdict := l.table.Admit(func() { _ = nc.Close() })
+		if verdict != door.Accepted {
+			l.guard.countClosed(`cassialead_connections_closed_total{listener="`+l.name+`"}`, "connection closed, listener is full", "listener", l.name,
+				"from", nc.RemoteAddr(), "rejected", verdict == door.Rejected)
+		}
+		if verdict == door.Rejected {
+			_ = nc.Close()
+			time.Sleep(acceptPause)
+			continue
+		}
+		c.socket = socket
+		return c, nil
+	}
+}
+
+// countClosed counts and logs that a limit on clients has taken effect.
+func (g *Guard) countClosed(counter, message string, args ...any) {
+	g.deps.Metrics.GetOrCreateCounter(counter).Inc()
+	g.deps.Log.Info(message, args...)
+}
