cmds, eventlog: a node of an operator limits its log lines per event

What operators saw: nothing yet, since `cassialead node` wrote no line for a misbehaving client. The lines about closed connections and requests that follow with its limits are caused by clients, as many as these like.

The spec writes 1,000 lines of one event and finds fewer than 100; without the handler it finds 1,000.

--- a/cmds/node.go
+++ b/cmds/node.go
@@ -10,16 +10,18 @@
 	"github.com/VictoriaMetrics/metrics"
 	"github.com/spf13/cobra"
 
+	"github.com/cassialead/cassialead/eventlog"
 	"github.com/cassialead/cassialead/node"
 	"github.com/cassialead/cassialead/settings"
 	"github.com/cassialead/cassialead/store"
 )
 
 func newLogger(w io.Writer, format string) *slog.Logger {
+	var h slog.Handler = slog.NewTextHandler(w, nil)
 	if format == "json" {
-		return slog.New(slog.NewJSONHandler(w, nil))
+		h = slog.NewJSONHandler(w, nil)
 	}
-	return slog.New(slog.NewTextHandler(w, nil))
+	return slog.New(eventlog.Limit(h))
 }
 
 func (a *app) nodeCommand() *cobra.Command {
--- a/eventlog/eventlog_test.go
+++ b/eventlog/eventlog_test.go
@@ -47,6 +47,14 @@
 		Expect(text).To(ContainSubstring(`"msg":"other event"`))
 		Expect(text).To(ContainSubstring(`"omitted":9`))
 	})
+	It("limits the lines of another handler, too", func() {
+		o := &output{}
+		log := slog.New(eventlog.Limit(slog.NewTextHandler(o, nil)))
+		for range 1000 {
+			log.Info("flood")
+		}
+		Expect(strings.Count(o.lines.String(), "msg=flood")).To(BeNumerically("<", 100))
+	})
 	It("doesn't block the caller while the output is blocked", func() {
 		o := &output{unblock: make(chan struct{})}
 		w := eventlog.NewWriter(o)
--- a/eventlog/handler.go
+++ b/eventlog/handler.go
@@ -21,7 +21,7 @@
 type eventLimits struct {
 	mu     sync.Mutex
 	events map[string]*lineCount
-	writer *Writer
+	writer *Writer // nil if lines are written at once
 }
 
 type lineCount struct {
@@ -35,6 +35,11 @@
 	return slog.New(&Handler{next: slog.NewJSONHandler(w, nil), limits: &eventLimits{events: map[string]*lineCount{}, writer: w}}).With("vm", vm)
 }
 
+// Limit returns a handler that passes on as many lines of each event as those of New.
+func Limit(next slog.Handler) slog.Handler {
+	return &Handler{next: next, limits: &eventLimits{events: map[string]*lineCount{}}}
+}
+
 // Enabled reports whether lines of a level are written.
 func (h *Handler) Enabled(ctx context.Context, l slog.Level) bool { return h.next.Enabled(ctx, l) }
 
@@ -57,8 +62,10 @@
 	if omitted > 0 {
 		r.AddAttrs(slog.Int("omitted", omitted))
 	}
-	if n := h.limits.writer.Dropped(); n > 0 {
-		r.AddAttrs(slog.Int("dropped", n))
+	if h.limits.writer != nil {
+		if n := h.limits.writer.Dropped(); n > 0 {
+			r.AddAttrs(slog.Int("dropped", n))
+		}
 	}
 	return h.next.Handle(ctx, r)
 }
