node, gateway, link: a node that an operator starts keeps the limits on clients

What callers saw: heads of 100,000 short fields on 300 connections took `cassialead node` from 28 MB to 2,940 MB; messages of nodes and frames of links that stop short of their end, 2,904 and 2,889 MB; answers that aren't read, 99 MB of 64. Silent connections took 916 descriptors of 400. Calls of a node that doesn't exist whose bodies stop held the target's slots: the ordinary call got 503.

Cause: its three servers were plain ones. Nothing bounded their connections, the memory of heads, bodies, frames and answers together, or the time of a body; a call of another node took its slot before its body had arrived.

Change: the servers are those of package listener, with the memory and descriptors of the settings. Bodies of up to 64 KiB from callers and 1 MiB from nodes are read before a call takes a slot; a longer one from a node may pause for 2 s. Frames of links and their decompressed text count as memory of requests. Connections to other nodes are closed before the other side's idle timeout.

--- a/agent/body.go
+++ b/agent/body.go
@@ -15,8 +15,6 @@
 	clientBodyTimeout = 30 * time.Second       // to read the body of a caller that sends no timeout, and the time for its slowest allowed transfer
 	clientBodyRate    = 64 << 10               // bytes per second of the slowest allowed transfer of the largest body
 	bodyStallTimeout  = 10 * time.Second       // in which a byte of such a body has to arrive
-	peerBodyTimeout   = 2 * time.Second        // to read a body after 100 Continue: the retransmission of one lost packet, and its transfer time
-	peerBodyRate      = 1 << 20                // bytes per second, below those of the slowest link
 	bodyMemoryRetry   = 300 * time.Millisecond // in which bodies held in memory are normally released, sent as Retry-After
 )
 
@@ -33,12 +31,6 @@
 	return readBody(r, limits)
 }
 
-// peerBody returns the limits of a body from another node.
-func peerBody(length, maxBytes int64) listener.BodyLimits {
-	total := peerBodyTimeout + time.Duration(max(length, 0)/peerBodyRate*int64(time.Second))
-	return listener.BodyLimits{Bytes: maxBytes, Total: total, Stall: total}
-}
-
 // maxBody returns the largest body that the configuration allows.
 func (a *Agent) maxBody() int64 {
 	if p := a.dispatcher.Plan(); p != nil && p.Limits.MaxBodyBytes > 0 {
--- a/agent/peer.go
+++ b/agent/peer.go
@@ -100,7 +100,7 @@
 		}
 		interim.sendContinue()
 	}
-	body, cause := readBody(r, peerBody(r.ContentLength, a.maxBody()))
+	body, cause := readBody(r, listener.PeerBody(r.ContentLength, a.maxBody()))
 	switch {
 	case cause == hop.BodiesFull:
 		return hop.Refused{Cause: cause, RetryAfter: bodyMemoryRetry}
@@ -222,7 +222,7 @@
 // serveView returns an update to the requesting node, or applies one that another node has sent.
 func (a *Agent) serveView(w http.ResponseWriter, r *http.Request) {
 	if r.Method == http.MethodPost {
-		body, cause := readBody(r, peerBody(0, maxViewBytes))
+		body, cause := readBody(r, listener.PeerBody(0, maxViewBytes))
 		if cause != "" {
 			a.deps.Log.Warn("view update from a node not received", "from", r.RemoteAddr, "cause", cause)
 			w.WriteHeader(http.StatusBadRequest)
--- a/agent/quota.go
+++ b/agent/quota.go
@@ -11,6 +11,7 @@
 	"github.com/cassialead/cassialead/feed"
 	"github.com/cassialead/cassialead/fleet"
 	"github.com/cassialead/cassialead/hop"
+	"github.com/cassialead/cassialead/listener"
 	"github.com/cassialead/cassialead/member"
 	"github.com/cassialead/cassialead/quota"
 )
@@ -251,7 +252,7 @@
 // serveDemand records the totals of another region and answers with the known ones.
 func (a *Agent) serveDemand(w http.ResponseWriter, r *http.Request) {
 	var in []quota.Total
-	body, cause := readBody(r, peerBody(r.ContentLength, maxDemandBytes))
+	body, cause := readBody(r, listener.PeerBody(r.ContentLength, maxDemandBytes))
 	if cause != "" {
 		a.deps.Log.Warn("demand of another region not received", "from", r.RemoteAddr, "cause", cause)
 		w.WriteHeader(http.StatusBadRequest)
--- a/cmds/node.go
+++ b/cmds/node.go
@@ -5,6 +5,7 @@
 	"log/slog"
 	"math/rand/v2"
 	"net/http"
+	"runtime/debug"
 	"time"
 
 	"github.com/VictoriaMetrics/metrics"
@@ -37,6 +38,7 @@
 			if err != nil {
 				return err
 			}
+			debug.SetMemoryLimit(runtimeMemory(cfg.Limits.OrDefault().MemoryBytes))
 			set := metrics.NewSet()
 			n, err := node.New(cfg, node.Deps{
 				Store: store.New(cfg.StoreURL, http.DefaultTransport, set), Log: newLogger(a.errOut, cfg.LogFormat), Metrics: set,
--- a/exchange/listen.go
+++ b/exchange/listen.go
@@ -3,6 +3,7 @@
 import (
 	"io"
 	"net"
+	"strings"
 	"sync/atomic"
 	"time"
 )
@@ -15,7 +16,11 @@
 // Listen opens a TCP listener whose connections fail a write that the peer does not take in time. Without that bound a silent
 // connection would keep whatever its writer holds.
 func Listen(address string) (net.Listener, error) {
-	l, err := net.Listen("tcp4", address)
+	network := "tcp4"
+	if strings.HasPrefix(address, "[") {
+		network = "tcp6"
+	}
+	l, err := net.Listen(network, address)
 	if err != nil {
 		return nil, err
 	}
--- a/gateway/cluster_test.go
+++ b/gateway/cluster_test.go
@@ -21,6 +21,7 @@
 	"github.com/cassialead/cassialead/fleet"
 	"github.com/cassialead/cassialead/gateway"
 	"github.com/cassialead/cassialead/ledger"
+	"github.com/cassialead/cassialead/listener"
 	"github.com/cassialead/cassialead/route"
 	"github.com/cassialead/cassialead/standin"
 )
@@ -90,6 +91,7 @@
 
 // testNode is a gateway and its target, as on one VM.
 type testNode struct {
+	guard         *listener.Guard
 	record        fleet.Record
 	gateway       *gateway.Gateway
 	target        *standin.Target
@@ -228,7 +230,8 @@
 		Targets: []fleet.Target{{Service: "stock", Slots: 4}, {Service: "orders", Slots: 4}}}
 	n.gateway = gateway.New(gateway.Deps{Node: n.record, Log: slog.New(slog.NewTextHandler(io.Discard, nil)), Metrics: n.metrics,
 		Now: now, Targets: n, Balancer: route.PowerOfTwoChoices{}, ClaimStore: claims})
-	n.ingressServer = httptest.NewServer(n.gateway.IngressHandler())
+	n.guard = listener.New(0, listener.Deps{Log: slog.New(slog.NewTextHandler(io.Discard, nil)), Metrics: n.metrics, Now: now})
+	n.ingressServer = n.startServer("call", n.gateway.IngressHandler())
 	n.startPeerServer()
 	n.proxy = newTCPProxy(n.peerServer.Listener.Addr().String())
 	n.record.LinkAddress = fleet.Address(n.proxy.listener.Addr().String())
@@ -238,7 +241,14 @@
 func (n *testNode) startPeerServer() {
 	r := mux.NewRouter()
 	n.gateway.RegisterPeerRoutes(r)
-	n.peerServer = httptest.NewServer(r)
+	n.peerServer = n.startServer("link", r)
+}
+
+func (n *testNode) startServer(name string, h http.Handler) *httptest.Server {
+	s := httptest.NewUnstartedServer(nil)
+	s.Listener = n.guard.Apply(s.Config, s.Listener, listener.Server{Name: name, Handler: h, Connections: 1000})
+	s.Start()
+	return s
 }
 
 // publish updates every gateway with the same records; if withTargets is given, just these nodes have targets.
--- a/gateway/fence.go
+++ b/gateway/fence.go
@@ -155,8 +155,7 @@
 
 func (in *inbound) serveFence(w http.ResponseWriter, r *http.Request) {
 	var q fenceRequest
-	if err := json.NewDecoder(io.LimitReader(r.Body, maxHeaderBytes)).Decode(&q); err != nil {
-		http.Error(w, err.Error(), http.StatusBadRequest)
+	if !readMessage(w, r, maxHeaderBytes, &q) {
 		return
 	}
 	by, err := ledger.ParseStartBy(q.StartBy)
--- a/gateway/ingress.go
+++ b/gateway/ingress.go
@@ -12,6 +12,7 @@
 	"time"
 
 	"github.com/cassialead/cassialead/config"
+	"github.com/cassialead/cassialead/listener"
 	"github.com/cassialead/cassialead/route"
 )
 
@@ -19,6 +20,9 @@
 	maxDepth           = 32       // nested calls; a deeper call path is assumed to be a loop
 	maxBufferedRequest = 64 << 10 // bytes; a larger request body is streamed and can't be retried once it has been read from
 	defaultTenant      = "default"
+	bodyTimeout        = 30 * time.Second       // for a buffered body
+	bodyStallTimeout   = 10 * time.Second       // without a byte of it
+	memoryRetry        = 300 * time.Millisecond // in which memory of requests is normally released
 )
 
 // exchange is the state of one caller's request.
@@ -41,11 +45,16 @@
 		return
 	}
 	defer g.inflight.Done()
+	if listener.FromContext(r.Context()).Pressed() {
+		g.writeRefusal(w, memoryFull())
+		return
+	}
 	x, refusal := g.newExchange(r, started)
 	if refusal != nil {
 		g.writeRefusal(w, *refusal)
 		return
 	}
+	w = listener.FromContext(r.Context()).Writer(w)
 	enableFullDuplex(w, r)
 	ctx, cancel := context.WithCancel(r.Context())
 	defer cancel()
@@ -135,9 +144,9 @@
 		retry: r.Header.Get(HeaderRetry) != "", deadline: now.Add(timeout), maxWait: p.MaxWait, weight: p.Weight,
 		longShare: p.LongShare}
 	g.retryBudget.Deposit(depth)
-	body, err := newRequestBody(r)
-	if err != nil {
-		return fail(http.StatusBadRequest, CauseBadRequest, "request body incomplete; call not executed")
+	body, refusal := newRequestBody(r)
+	if refusal != nil {
+		return nil, refusal
 	}
 	x.body = body
 	return x, nil
@@ -167,18 +176,51 @@
 }
 
 // newRequestBody buffers a short body, to keep a slow caller from occupying a slot of the target.
-func newRequestBody(r *http.Request) (*requestBody, error) {
+func newRequestBody(r *http.Request) (*requestBody, *Refusal) {
 	b := &requestBody{length: r.ContentLength}
 	if r.ContentLength < 0 || r.ContentLength > maxBufferedRequest {
-		b.stream = r.Body
+		b.stream = &arrivingBody{r.Body, listener.FromContext(r.Context()).Arriving()}
 		return b, nil
 	}
-	if r.ContentLength == 0 {
-		return b, nil
+	buffered, err := listener.ReadBody(r, listener.BodyLimits{Bytes: maxBufferedRequest, Total: bodyTimeout, Stall: bodyStallTimeout})
+	if err != nil {
+		refusal := refuseBody(err)
+		return nil, &refusal
+	}
+	b.buffered = buffered
+	return b, nil
+}
+
+// refuseBody returns the refusal of a call whose body was not received.
+func refuseBody(err error) Refusal {
+	switch {
+	case errors.Is(err, listener.ErrNoMemory):
+		return memoryFull()
+	case errors.Is(err, listener.ErrLate):
+		return notExecuted(http.StatusRequestTimeout, CauseBodyLate, "request body not received in time; call not executed")
+	}
+	return notExecuted(http.StatusBadRequest, CauseBadRequest, "request body incomplete; call not executed")
+}
+
+func memoryFull() Refusal {
+	r := notExecuted(http.StatusServiceUnavailable, CauseMemoryFull, "no memory on this node; call not executed")
+	r.RetryAfter = memoryRetry
+	return r
+}
+
+// arrivingBody is a streamed body that reports its end to the connection, which gives way to no other from then on.
+type arrivingBody struct {
+	io.ReadCloser
+	arrived func() bool
+}
+
+// Read reads from the body.
+func (b *arrivingBody) Read(p []byte) (int, error) {
+	n, err := b.ReadCloser.Read(p)
+	if errors.Is(err, io.EOF) && !b.arrived() {
+		return n, listener.ErrNoMemory
 	}
-	b.buffered = make([]byte, r.ContentLength)
-	_, err := io.ReadFull(r.Body, b.buffered)
-	return b, err
+	return n, err
 }
 
 // open returns the body for an attempt, or false for a stream that has been read from.
--- a/gateway/keys.go
+++ b/gateway/keys.go
@@ -136,8 +136,7 @@
 
 func (k *keyReplica) serve(w http.ResponseWriter, r *http.Request) {
 	var m keyRequest
-	if err := json.NewDecoder(io.LimitReader(r.Body, maxKeyRequestBytes)).Decode(&m); err != nil {
-		http.Error(w, err.Error(), http.StatusBadRequest)
+	if !readMessage(w, r, maxKeyRequestBytes, &m) {
 		return
 	}
 	_ = json.NewEncoder(w).Encode(k.handle(r.Context(), m))
--- a/gateway/refusal.go
+++ b/gateway/refusal.go
@@ -29,6 +29,8 @@
 	CauseMismatchedResponse Cause = "crossed-answer"
 	CauseKeyInProgress      Cause = "key-in-progress"
 	CauseKeyUnverified      Cause = "key-unverified"
+	CauseMemoryFull         Cause = "memory-full"
+	CauseBodyLate           Cause = "body-late"
 )
 
 // Executed states whether the target executed a call.
--- a/gateway/transport.go
+++ b/gateway/transport.go
@@ -6,12 +6,13 @@
 	"time"
 
 	"github.com/cassialead/cassialead/config"
+	"github.com/cassialead/cassialead/listener"
 )
 
 const (
 	connectTimeout     = time.Second
-	maxIdleConnections = 64              // for each node or target, and class
-	idleConnTimeout    = 3 * time.Minute // node pairs in a large data centre call each other every few seconds
+	maxIdleConnections = 64                           // for each node or target, and class
+	idleConnTimeout    = listener.IdleTimeout * 3 / 4 // the other side closes idle connections after IdleTimeout
 	continueTimeout    = time.Second
 	transportBuffer    = 8 << 10
 	maxHeaderBytes     = 64 << 10
--- a/link/codec.go
+++ b/link/codec.go
@@ -158,3 +158,21 @@
 	}
 	return v, nil
 }
+
+// decodedSize returns the memory in bytes that Decode needs for a frame besides the message; its error is ErrMalformed.
+func decodedSize(frame []byte) (uint64, error) {
+	if len(frame) < headerBytes || frame[1] != encodingZstd {
+		return 0, nil
+	}
+	var h zstd.Header
+	if err := h.Decode(frame[headerBytes:]); err != nil {
+		return 0, fmt.Errorf("%w: %w", ErrMalformed, errors.Wrap(err, "decompress"))
+	}
+	if !h.HasFCS {
+		return maxMessageBytes, nil
+	}
+	if h.FrameContentSize > maxMessageBytes {
+		return 0, errors.Wrap(ErrMalformed, "message is too long")
+	}
+	return h.FrameContentSize, nil
+}
--- a/link/conn.go
+++ b/link/conn.go
@@ -12,6 +12,7 @@
 	"github.com/gorilla/websocket"
 
 	"github.com/cassialead/cassialead/control"
+	"github.com/cassialead/cassialead/door"
 	"github.com/cassialead/cassialead/fleet"
 )
 
@@ -47,6 +48,7 @@
 type Conn struct {
 	ws        *websocket.Conn
 	traffic   *Traffic
+	memory    *door.Budget // of received frames; nil if they are not counted
 	queue     chan control.Message
 	done      chan struct{}
 	closeOnce sync.Once
@@ -70,6 +72,14 @@
 	return n, err
 }
 
+// CloseWrite ends the sending side, so that a client that is still sending receives an answer before the connection is reset.
+func (c countingConn) CloseWrite() error {
+	if w, ok := c.Conn.(interface{ CloseWrite() error }); ok {
+		return w.CloseWrite()
+	}
+	return nil
+}
+
 // WrapListener returns a listener that counts the bytes of its connections.
 func (t *Traffic) WrapListener(l net.Listener) net.Listener { return countingListener{l, t} }
 
@@ -109,14 +119,16 @@
 	return newConn(ws, t), nil
 }
 
-// Accept upgrades an HTTP request to a link.
-func Accept(w http.ResponseWriter, r *http.Request, t *Traffic) (*Conn, error) {
+// Accept upgrades an HTTP request to a link, whose frames count as memory of requests.
+func Accept(w http.ResponseWriter, r *http.Request, t *Traffic, memory *door.Budget) (*Conn, error) {
 	u := websocket.Upgrader{HandshakeTimeout: handshakeTimeout, ReadBufferSize: bufferBytes, WriteBufferSize: bufferBytes}
 	ws, err := u.Upgrade(w, r, nil)
 	if err != nil {
 		return nil, errors.Wrap(err, "upgrade request to link")
 	}
-	return newConn(ws, t), nil
+	c := newConn(ws, t)
+	c.memory = memory
+	return c, nil
 }
 
 func newConn(ws *websocket.Conn, t *Traffic) *Conn {
@@ -167,16 +179,12 @@
 		if err := c.ws.SetReadDeadline(time.Now().Add(readTimeout)); err != nil {
 			return errors.Wrap(err, "set read deadline of link")
 		}
-		_, frame, err := c.ws.ReadMessage()
-		if err != nil {
-			return errors.Wrap(err, "read from link")
-		}
-		m, err := Decode(frame)
+		m, err := c.readMessage()
 		switch {
 		case errors.Is(err, ErrUnknownKind):
 			c.traffic.unknownMessages.Inc()
 		case err != nil:
-			return err
+			return errors.Wrap(err, "read from link")
 		default:
 			receive(m)
 		}
--- a/listener/body.go
+++ b/listener/body.go
@@ -13,8 +13,10 @@
 )
 
 const (
-	collectSize    = 8 << 20 // bytes of a buffer from which garbage is collected before it exceeds the share of all bodies
-	bodyStallSteps = 8       // number of times that the deadline of a steady body is extended in its stall time
+	collectSize     = 8 << 20         // bytes of a buffer from which garbage is collected before it exceeds the share of all bodies
+	peerBodyTimeout = 2 * time.Second // to read a body after 100 Continue: the retransmission of one lost packet, and its transfer time
+	peerBodyRate    = 1 << 20         // bytes per second, below those of the slowest link
+	bodyStallSteps  = 8               // number of times that the deadline of a steady body is extended in its stall time
 )
 
 // Errors of ReadBody.
@@ -103,6 +105,12 @@
 	}
 }
 
+// PeerBody returns the limits of a body from another node of which the length is declared, or negative.
+func PeerBody(length, maxBytes int64) BodyLimits {
+	total := peerBodyTimeout + time.Duration(max(length, 0)/peerBodyRate*int64(time.Second))
+	return BodyLimits{Bytes: maxBytes, Total: total, Stall: total}
+}
+
 func earlier(a, b time.Time) time.Time {
 	if a.Before(b) {
 		return a
--- a/listener/conn.go
+++ b/listener/conn.go
@@ -160,17 +160,32 @@
 	return c
 }
 
+// Pressed reports whether unread answers leave so little memory that a new request has to be refused before it runs.
+func (c *Conn) Pressed() bool {
+	if !c.guard.memory.Pressed() {
+		return false
+	}
+	c.guard.deps.Metrics.GetOrCreateCounter("cassialead_pressed_refusals_total").Inc()
+	return true
+}
+
 // Keep excludes a connection of another node from those that are closed for new ones.
 func (c *Conn) Keep() { c.socket.Keep() }
 
 // Arrived records that a request has arrived completely, after which it runs and gives way to no other. It reports false if the
 // request has given way before.
-func (c *Conn) Arrived() bool {
-	if c.hold != nil && c.hold.Pin() != nil {
-		return false
+func (c *Conn) Arrived() bool { return c.Arriving()() }
+
+// Arriving returns the function that does as Arrived for the present request, for a body that another goroutine reads.
+func (c *Conn) Arriving() (arrived func() bool) {
+	h := c.hold
+	return func() bool {
+		if h != nil && h.Pin() != nil {
+			return false
+		}
+		c.socket.SetRunning(true)
+		return true
 	}
-	c.socket.SetRunning(true)
-	return true
 }
 
 // limitUnread returns a handler that bounds how long the bytes of a body may take that h leaves unread: the server skips up to
--- a/listener/guard.go
+++ b/listener/guard.go
@@ -16,9 +16,11 @@
 // MaxHeaderBytes is the size of a request or response header above any limit that a configuration sets for callers.
 const MaxHeaderBytes = 64 << 10
 
+// IdleTimeout is the time without a request after which a connection is closed, above any limit that a configuration sets for callers.
+const IdleTimeout = 2 * time.Minute
+
 const (
 	headerTimeout = 10 * time.Second     // above any limit that a configuration sets for callers
-	idleTimeout   = 2 * time.Minute      // above any limit that a configuration sets for callers
 	acceptPause   = 5 * time.Millisecond // after a rejected connection, so that a flood of them leaves time for the others
 )
 
@@ -55,17 +57,26 @@
 	Unread time.Duration
 }
 
-// Serve starts a server on l, whose connections bound each write, and returns it.
-func (g *Guard) Serve(l net.Listener, s Server) *http.Server {
+// Apply lets a server that has not been started keep the limits; it has to serve the returned listener in place of l. L bounds each
+// write of its connections, as those of exchange.Listen do.
+func (g *Guard) Apply(server *http.Server, l net.Listener, s Server) net.Listener {
 	table := door.NewSockets(s.Connections, g.deps.Now)
 	g.deps.Metrics.GetOrCreateGauge(`cassialead_connections{listener="`+s.Name+`"}`, func() float64 { return float64(table.Open()) })
-	server := &http.Server{Handler: limitUnread(s.Handler, s.Unread), ConnState: stateChanged, ErrorLog: slog.NewLogLogger(g.deps.Log.Handler(), slog.LevelDebug),
-		MaxHeaderBytes: MaxHeaderBytes, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout,
-		ConnContext: func(ctx context.Context, c net.Conn) context.Context {
-			return context.WithValue(ctx, connKey{}, c.(*Conn))
-		}}
+	server.Handler, server.ConnState = limitUnread(s.Handler, s.Unread), stateChanged
+	server.MaxHeaderBytes, server.ReadHeaderTimeout, server.IdleTimeout = MaxHeaderBytes, headerTimeout, IdleTimeout
+	server.ErrorLog = slog.NewLogLogger(g.deps.Log.Handler(), slog.LevelDebug)
+	server.ConnContext = func(ctx context.Context, c net.Conn) context.Context {
+		return context.WithValue(ctx, connKey{}, c.(*Conn))
+	}
+	return &limited{Listener: l, guard: g, name: s.Name, table: table}
+}
+
+// Serve starts a server on l, see Apply, and returns it.
+func (g *Guard) Serve(l net.Listener, s Server) *http.Server {
+	server := &http.Server{}
+	l = g.Apply(server, l, s)
 	go func() {
-		if err := server.Serve(&limited{Listener: l, guard: g, name: s.Name, table: table}); !errors.Is(err, http.ErrServerClosed) {
+		if err := server.Serve(l); !errors.Is(err, http.ErrServerClosed) {
 			g.deps.Log.Error("server stopped unexpectedly", "server", s.Name, "error", err)
 		}
 	}()
--- a/node/act.go
+++ b/node/act.go
@@ -109,7 +109,7 @@
 }
 
 func (n *Node) acceptLink(w http.ResponseWriter, r *http.Request) {
-	c, err := link.Accept(w, r, n.traffic)
+	c, err := link.Accept(w, r, n.traffic, n.guard.Memory())
 	if err != nil {
 		return
 	}
--- a/node/local.go
+++ b/node/local.go
@@ -8,6 +8,7 @@
 
 	"github.com/cassialead/cassialead/config"
 	"github.com/cassialead/cassialead/control"
+	"github.com/cassialead/cassialead/listener"
 )
 
 // localRouter returns the handler for targets on this VM and for operators.
@@ -39,7 +40,8 @@
 	}
 }
 
-func writeJSON(w http.ResponseWriter, v any) {
+func writeJSON(w http.ResponseWriter, r *http.Request, v any) {
+	w = listener.FromContext(r.Context()).Writer(w)
 	w.Header().Set("Content-Type", "application/json")
 	_ = json.NewEncoder(w).Encode(v)
 }
@@ -51,10 +53,10 @@
 	return s
 }
 
-func (n *Node) serveStatus(w http.ResponseWriter, _ *http.Request) { writeJSON(w, n.Status()) }
+func (n *Node) serveStatus(w http.ResponseWriter, r *http.Request) { writeJSON(w, r, n.Status()) }
 
-func (n *Node) serveRecords(w http.ResponseWriter, _ *http.Request) {
-	n.Inspect(func(machine *control.Core) { writeJSON(w, machine.Records()) })
+func (n *Node) serveRecords(w http.ResponseWriter, r *http.Request) {
+	n.Inspect(func(machine *control.Core) { writeJSON(w, r, machine.Records()) })
 }
 
 // ActiveDocument is a node's active configuration document with its version, in JSON.
@@ -64,23 +66,23 @@
 	Document config.Document `json:"document"`
 }
 
-func (n *Node) serveDocument(w http.ResponseWriter, _ *http.Request) {
+func (n *Node) serveDocument(w http.ResponseWriter, r *http.Request) {
 	var d ActiveDocument
 	n.Inspect(func(machine *control.Core) {
 		_, active := machine.Config()
 		d = ActiveDocument{active.Lineage, active.Version, machine.Document()}
 	})
-	writeJSON(w, d)
+	writeJSON(w, r, d)
 }
 
 func (n *Node) serveExplain(w http.ResponseWriter, r *http.Request) {
 	q := r.URL.Query()
-	writeJSON(w, n.gateway.Explain(q.Get("host"), q.Get("path"), config.Tenant(q.Get("tenant"))))
+	writeJSON(w, r, n.gateway.Explain(q.Get("host"), q.Get("path"), config.Tenant(q.Get("tenant"))))
 }
 
-func (n *Node) serveDrain(w http.ResponseWriter, _ *http.Request) {
+func (n *Node) serveDrain(w http.ResponseWriter, r *http.Request) {
 	n.targets.drain()
-	writeJSON(w, n.Status())
+	writeJSON(w, r, n.Status())
 }
 
 // ConfigVersion returns the version of the configuration by which the node's calls are routed.
--- a/node/node.go
+++ b/node/node.go
@@ -15,10 +15,13 @@
 	"github.com/gorilla/mux"
 
 	"github.com/cassialead/cassialead/control"
+	"github.com/cassialead/cassialead/door"
+	"github.com/cassialead/cassialead/exchange"
 	"github.com/cassialead/cassialead/fleet"
 	"github.com/cassialead/cassialead/gateway"
 	"github.com/cassialead/cassialead/history"
 	"github.com/cassialead/cassialead/link"
+	"github.com/cassialead/cassialead/listener"
 	"github.com/cassialead/cassialead/route"
 	"github.com/cassialead/cassialead/settings"
 	"github.com/cassialead/cassialead/store"
@@ -28,7 +31,7 @@
 	eventQueueSize           = 1024
 	gatewayUpdateDelay       = 20 * time.Millisecond  // time for which changes of membership records are batched
 	minGatewayUpdateInterval = 500 * time.Millisecond // minimum time between two updates for changes of membership records
-	headerTimeout            = 5 * time.Second
+	localBodyTimeout         = 2 * time.Second        // for a body of a target or an operator
 	linkDrainTime            = 200 * time.Millisecond // time to send the last membership records before links close
 )
 
@@ -47,6 +50,8 @@
 type Node struct {
 	cfg      settings.Node
 	deps     Deps
+	limits   settings.Limits
+	guard    *listener.Guard
 	traffic  *link.Traffic
 	gateway  *gateway.Gateway
 	versions *history.Log
@@ -81,7 +86,9 @@
 	if deps.Balancer == nil {
 		deps.Balancer = route.PowerOfTwoChoices{}
 	}
-	n := &Node{cfg: cfg, deps: deps, links: map[control.LinkID]*link.Conn{}, stopped: make(chan struct{}),
+	limits := cfg.Limits.OrDefault()
+	n := &Node{cfg: cfg, deps: deps, limits: limits, guard: listener.New(door.Bytes(limits.MemoryBytes), listener.Deps{Log: deps.Log, Metrics: deps.Metrics, Now: deps.Now}),
+		links: map[control.LinkID]*link.Conn{}, stopped: make(chan struct{}),
 		killed: make(chan struct{})}
 	n.events = make(chan any, eventQueueSize)
 	n.traffic = link.NewTraffic(deps.Metrics)
@@ -93,7 +100,7 @@
 func (n *Node) listen() error {
 	var opened []net.Listener
 	open := func(a *fleet.Address) net.Listener {
-		l, err := net.Listen("tcp", string(*a))
+		l, err := exchange.Listen(string(*a))
 		if err != nil {
 			return nil
 		}
@@ -112,9 +119,10 @@
 	n.selfRecord.Store(&record)
 	n.gateway = gateway.New(gateway.Deps{Node: record, Log: n.deps.Log, Metrics: n.deps.Metrics, Now: n.deps.Now,
 		Targets: n.targets, Balancer: n.deps.Balancer, ClaimStore: newClaimStore(n.deps.Store)})
-	n.callServer = n.serve(callListener, n.gateway.IngressHandler())
-	n.linkServer = n.serve(n.traffic.WrapListener(linkListener), n.linkRouter())
-	n.localServer = n.serve(localListener, n.localRouter())
+	shares := door.NewShares(n.limits.Descriptors, door.Bytes(n.limits.MemoryBytes))
+	n.callServer = n.guard.Serve(callListener, listener.Server{Name: "call", Handler: n.gateway.IngressHandler(), Connections: shares.Callers})
+	n.linkServer = n.guard.Serve(n.traffic.WrapListener(linkListener), listener.Server{Name: "link", Handler: n.linkRouter(), Connections: shares.Nodes})
+	n.localServer = n.guard.Serve(localListener, listener.Server{Name: "local", Handler: n.localRouter(), Connections: shares.Other, Unread: localBodyTimeout})
 	return nil
 }
 
@@ -125,12 +133,6 @@
 	}
 }
 
-func (n *Node) serve(l net.Listener, h http.Handler) *http.Server {
-	s := &http.Server{Handler: h, ReadHeaderTimeout: headerTimeout, ErrorLog: slog.NewLogLogger(n.deps.Log.Handler(), slog.LevelDebug)}
-	go func() { _ = s.Serve(l) }()
-	return s
-}
-
 func (n *Node) linkRouter() http.Handler {
 	r := mux.NewRouter()
 	n.gateway.RegisterPeerRoutes(r)
