node: queries for records are written outside of the control loop

What operators saw: clients that ask for the records of a node with 40 others and don't read them stop its control loop: a query of its status was not answered within 30 s, and no change is applied meanwhile.

Cause: the answer was encoded and written to the connection within the event that reads the records. From 4 KB on the write waits for the client; without a write timeout it waited for good, with the one of the listener for 3 s a connection.

Change: the event copies the records, the answer is written after it. The new spec of trial failed on (30.0 s timeout) and passes now (5.7 s, of which it waits 5).

--- a/node/local.go
+++ b/node/local.go
@@ -8,6 +8,7 @@
 
 	"github.com/cassialead/cassialead/config"
 	"github.com/cassialead/cassialead/control"
+	"github.com/cassialead/cassialead/fleet"
 	"github.com/cassialead/cassialead/listener"
 )
 
@@ -56,7 +57,9 @@
 func (n *Node) serveStatus(w http.ResponseWriter, r *http.Request) { writeJSON(w, r, n.Status()) }
 
 func (n *Node) serveRecords(w http.ResponseWriter, r *http.Request) {
-	n.Inspect(func(machine *control.Core) { writeJSON(w, r, machine.Records()) })
+	var records []fleet.Record
+	n.Inspect(func(machine *control.Core) { records = machine.Records() })
+	writeJSON(w, r, records)
 }
 
 // ActiveDocument is a node's active configuration document with its version, in JSON.
--- a/trial/trial_test.go
+++ b/trial/trial_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"io"
+	"net"
 	"net/http"
 	"strings"
 	"testing"
@@ -156,6 +157,29 @@
 			Should(Equal(1.0))
 	})
 
+	It("goes on controlling a node whose records clients ask for and don't read", func() {
+		f, err := trial.New(trial.Uniform(40, 4), 1, nil)
+		Expect(err).NotTo(HaveOccurred())
+		DeferCleanup(f.Close)
+		n := f.VMs[0].Node
+		Eventually(n.KnownNodes, testTimeout).Should(Equal(40))
+		_, _, address := n.Addresses()
+		for range 30 {
+			conn, err := net.Dial("tcp", string(address))
+			Expect(err).NotTo(HaveOccurred())
+			DeferCleanup(conn.Close)
+			Expect(conn.(*net.TCPConn).SetReadBuffer(4 << 10)).To(Succeed())
+			go func() { _, _ = io.WriteString(conn, strings.Repeat("GET /v1/records HTTP/1.1\r\nHost: a\r\n\r\n", 2000)) }() // ends with the connection
+		}
+		time.Sleep(5 * time.Second) // for the answers to fill the buffers of the connections
+		status := make(chan struct{})
+		go func() {
+			n.Status()
+			close(status)
+		}()
+		Eventually(status, testTimeout).Should(BeClosed())
+	})
+
 	It("removes a target that stops announcing itself", func() {
 		f := startFleet()
 		v := f.VMs[1]
