standin, cmds: the stand-in store and target keep the limits on clients

What operators saw: heads of many short fields took the stand-in store to 3,016 MB and the target to 3,037 MB, bodies far over any limit the target to 2,547 MB (it read them whole), bodies that stop short of their end 368 and 367 MB each, and unread answers the store to 141 MB. Either process ends on a machine with less memory, and the fleet with it.

Cause: plain servers without bounds on connections, heads, bodies or answers.

Change: both are served by package listener with the memory and descriptors of their flags. Bodies are read within limits (messages 64 KiB, values 1 MiB, calls 64 MiB; 413 above, 408 late, 503 without memory), long answers count until they have been taken. The commands set the runtime's memory limit as the platform's node does. Tests and trials use the same servers.

One line of the spec in trial is formatted by gofmt.

--- a/cmds/session_test.go
+++ b/cmds/session_test.go
@@ -4,7 +4,6 @@
 	"bytes"
 	"flag"
 	"fmt"
-	"net/http/httptest"
 	"os"
 	"path/filepath"
 	"regexp"
@@ -15,6 +14,8 @@
 	. "github.com/onsi/gomega"
 
 	"github.com/cassialead/cassialead/cmds"
+	"github.com/cassialead/cassialead/exchange"
+	"github.com/cassialead/cassialead/settings"
 	"github.com/cassialead/cassialead/standin"
 )
 
@@ -42,8 +43,10 @@
 var _ = Describe("an operator's session", func() {
 	It("prints the recorded output and exit codes", func() {
 		s := standin.NewStore(10_000, 10_000)
-		server := httptest.NewServer(s.Handler())
-		defer server.Close()
+		l, err := exchange.Listen("127.0.0.1:0")
+		Expect(err).NotTo(HaveOccurred())
+		DeferCleanup(s.Serve(l, settings.Limits{}).Close)
+		url := "http://" + l.Addr().String()
 		dir := GinkgoT().TempDir()
 		write := func(name, text string) string {
 			file := filepath.Join(dir, name)
@@ -55,7 +58,7 @@
 		yuki := write("yuki.ini", "[document]\nbase = 1\n[defaults]\ntimeout = 1s\n[service a]\nretries = 0\n[service b]\n[route a]\npath = /a\nservice = a\n")
 		clash := write("clash.ini", "[document]\nbase = 1\n[defaults]\ntimeout = 3s\n[service a]\n[service b]\n[route a]\npath = /a\nservice = a\n")
 		bad := write("bad.ini", "[defaults]\ntimeout = 5\n[exception x]\nmatch = service=c\ntimeout = 1s\n")
-		got := runSession(server.URL,
+		got := runSession(url,
 			"show",
 			"check "+bad,
 			"apply "+first+" --author ana --message first --change c1",
@@ -76,7 +79,7 @@
 		)
 		got = strings.ReplaceAll(got, dir, "DIR")
 		s.SetFaults(standin.StoreFaults{Outage: true})
-		got += strings.ReplaceAll(runSession(server.URL, "show", "apply "+ana+" --change c8"), dir, "DIR")
+		got += strings.ReplaceAll(runSession(url, "show", "apply "+ana+" --change c8"), dir, "DIR")
 		file := filepath.Join("_fixtures", "operator.golden")
 		if *rewrite {
 			Expect(os.WriteFile(file, []byte(got), 0o600)).To(Succeed())
--- a/cmds/standin.go
+++ b/cmds/standin.go
@@ -2,13 +2,12 @@
 
 import (
 	"fmt"
-	"net"
-	"net/http"
+	"runtime/debug"
 	"time"
 
-	"github.com/cockroachdb/errors"
 	"github.com/spf13/cobra"
 
+	"github.com/cassialead/cassialead/exchange"
 	"github.com/cassialead/cassialead/settings"
 	"github.com/cassialead/cassialead/standin"
 )
@@ -42,20 +41,15 @@
 		Example: "  cassialead standin store --listen 127.0.0.1:8500\n  curl -X PUT 127.0.0.1:8500/standin/faults -d '{\"outage\":true}'",
 		Args:    cobra.NoArgs,
 		RunE: func(cmd *cobra.Command, _ []string) error {
-			l, err := net.Listen("tcp", listen)
+			l, err := exchange.Listen(listen)
 			if err != nil {
 				return fmt.Errorf("%w: %w", errUsage, err)
 			}
-			s := &http.Server{Handler: standin.NewStore(reads, writes).Handler(), ReadHeaderTimeout: 5 * time.Second}
-			go func() {
-				<-cmd.Context().Done()
-				_ = s.Close()
-			}()
+			debug.SetMemoryLimit(runtimeMemory(limits.limits().MemoryBytes))
+			s := standin.NewStore(reads, writes).Serve(l, limits.limits())
 			a.printf("store listens on %s\n", l.Addr())
-			if err := s.Serve(l); !errors.Is(err, http.ErrServerClosed) {
-				return err
-			}
-			return nil
+			<-cmd.Context().Done()
+			return s.Close()
 		},
 	}
 	cmd.Flags().StringVar(&listen, "listen", "127.0.0.1:8500", "loopback address to listen on")
@@ -75,6 +69,7 @@
 		Args:    cobra.NoArgs,
 		RunE: func(cmd *cobra.Command, _ []string) error {
 			cfg.NodeAddress, cfg.Limits = a.nodeAddress, limits.limits()
+			debug.SetMemoryLimit(runtimeMemory(cfg.Limits.MemoryBytes))
 			t, err := standin.NewTarget(cfg)
 			if err != nil {
 				return err
--- a/history/log_test.go
+++ b/history/log_test.go
@@ -4,7 +4,6 @@
 	"context"
 	"fmt"
 	"net/http"
-	"net/http/httptest"
 	"sync"
 	"testing"
 	"time"
@@ -15,7 +14,9 @@
 	. "github.com/onsi/gomega"
 
 	"github.com/cassialead/cassialead/config"
+	"github.com/cassialead/cassialead/exchange"
 	"github.com/cassialead/cassialead/history"
+	"github.com/cassialead/cassialead/settings"
 	"github.com/cassialead/cassialead/standin"
 	"github.com/cassialead/cassialead/store"
 )
@@ -36,9 +37,10 @@
 
 func newFixture() *fixture {
 	f := &fixture{store: standin.NewStore(100_000, 100_000)}
-	server := httptest.NewServer(f.store.Handler())
-	DeferCleanup(server.Close)
-	f.kv = store.New(server.URL, &http.Transport{DisableKeepAlives: true}, metrics.NewSet())
+	l, err := exchange.Listen("127.0.0.1:0")
+	Expect(err).NotTo(HaveOccurred())
+	DeferCleanup(f.store.Serve(l, settings.Limits{}).Close)
+	f.kv = store.New("http://"+l.Addr().String(), &http.Transport{DisableKeepAlives: true}, metrics.NewSet())
 	f.log = history.New(f.kv, func() time.Time { return time.Unix(1_700_000_000, 0) }, func() string {
 		f.mu.Lock()
 		defer f.mu.Unlock()
--- a/standin/store.go
+++ b/standin/store.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/json"
 	"io"
+	"net"
 	"net/http"
 	"slices"
 	"strconv"
@@ -12,6 +13,8 @@
 
 	"github.com/gorilla/mux"
 	"golang.org/x/time/rate"
+
+	"github.com/cassialead/cassialead/settings"
 )
 
 const maxStoreValue = 1 << 20
@@ -103,8 +106,12 @@
 	return nil
 }
 
-// Handler returns the store's HTTP interface; PUT /standin/faults switches its faults.
-func (s *Store) Handler() http.Handler {
+// Serve starts the store's HTTP interface on l within the limits; PUT /standin/faults switches its faults.
+func (s *Store) Serve(l net.Listener, limits settings.Limits) *http.Server {
+	return serve(l, "store", bounded(s.handler()), limits)
+}
+
+func (s *Store) handler() http.Handler {
 	r := mux.NewRouter()
 	r.HandleFunc("/standin/faults", s.serveFaults).Methods(http.MethodPut)
 	r.HandleFunc("/standin/calls", s.serveCalls).Methods(http.MethodGet)
@@ -118,8 +125,12 @@
 }
 
 func (s *Store) serveFaults(w http.ResponseWriter, r *http.Request) {
+	body, ok := readBody(w, r, maxMessage)
+	if !ok {
+		return
+	}
 	var f StoreFaults
-	if err := json.NewDecoder(r.Body).Decode(&f); err != nil {
+	if err := json.Unmarshal(body, &f); err != nil {
 		http.Error(w, err.Error(), http.StatusBadRequest)
 		return
 	}
@@ -249,9 +260,8 @@
 
 func (s *Store) put(w http.ResponseWriter, r *http.Request) {
 	key := mux.Vars(r)["key"]
-	value, err := io.ReadAll(io.LimitReader(r.Body, maxStoreValue+1))
-	if err != nil || len(value) > maxStoreValue {
-		http.Error(w, "value too large", http.StatusRequestEntityTooLarge)
+	value, ok := readBody(w, r, maxStoreValue)
+	if !ok {
 		return
 	}
 	q := r.URL.Query()
@@ -259,7 +269,6 @@
 	defer s.mu.Unlock()
 	s.expire()
 	e := s.entries[key]
-	ok := true
 	lease := ""
 	if q.Has("cas") {
 		expect, _ := strconv.ParseUint(q.Get("cas"), 10, 64)
@@ -286,9 +295,13 @@
 }
 
 func (s *Store) createSession(w http.ResponseWriter, r *http.Request) {
-	var body struct{ TTL string }
-	_ = json.NewDecoder(r.Body).Decode(&body)
-	ttl, err := time.ParseDuration(body.TTL)
+	body, ok := readBody(w, r, maxMessage)
+	if !ok {
+		return
+	}
+	var request struct{ TTL string }
+	_ = json.Unmarshal(body, &request) // a TTL that can't be read is refused below
+	ttl, err := time.ParseDuration(request.TTL)
 	if err != nil {
 		http.Error(w, "bad TTL", http.StatusBadRequest)
 		return
--- a/standin/target.go
+++ b/standin/target.go
@@ -5,7 +5,6 @@
 	"context"
 	"encoding/json"
 	"fmt"
-	"io"
 	"net"
 	"net/http"
 	"strconv"
@@ -14,6 +13,7 @@
 
 	"github.com/gorilla/mux"
 
+	"github.com/cassialead/cassialead/exchange"
 	"github.com/cassialead/cassialead/settings"
 )
 
@@ -22,6 +22,7 @@
 	attemptHeader      = "Cassialead-Attempt"
 	defaultServiceTime = 2 * time.Millisecond
 	responseChunkBytes = 16 << 10
+	maxTargetBody      = 64 << 20 // bytes of a request
 )
 
 // TargetFaults are the faults that a simulated target injects.
@@ -77,7 +78,7 @@
 
 // NewTarget starts a target on a free loopback port and announces it to its node.
 func NewTarget(cfg TargetSettings) (*Target, error) {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
+	l, err := exchange.Listen("127.0.0.1:0")
 	if err != nil {
 		return nil, err
 	}
@@ -90,8 +91,7 @@
 	if cfg.MaxConcurrency > 0 {
 		t.semaphore = make(chan struct{}, cfg.MaxConcurrency)
 	}
-	t.server = &http.Server{Handler: t.handler()}
-	go func() { _ = t.server.Serve(l) }()
+	t.server = serve(l, "target", bounded(t.handler()), cfg.Limits)
 	go t.announceLoop(ctx)
 	return t, nil
 }
@@ -186,8 +186,12 @@
 }
 
 func (t *Target) serveFaults(w http.ResponseWriter, r *http.Request) {
+	body, ok := readBody(w, r, maxMessage)
+	if !ok {
+		return
+	}
 	var f TargetFaults
-	if err := json.NewDecoder(r.Body).Decode(&f); err != nil {
+	if err := json.Unmarshal(body, &f); err != nil {
 		http.Error(w, err.Error(), http.StatusBadRequest)
 		return
 	}
@@ -208,8 +212,8 @@
 		http.Error(w, "shed", http.StatusServiceUnavailable)
 		return
 	}
-	body, err := io.ReadAll(r.Body)
-	if err != nil {
+	body, ok := readBody(w, r, maxTargetBody)
+	if !ok {
 		return
 	}
 	if f.Stall {
--- a/trial/fleet.go
+++ b/trial/fleet.go
@@ -6,7 +6,6 @@
 	"io"
 	"log/slog"
 	"math/rand/v2"
-	"net"
 	"net/http"
 	"sync"
 	"time"
@@ -15,6 +14,7 @@
 	"github.com/cockroachdb/errors"
 
 	"github.com/cassialead/cassialead/config"
+	"github.com/cassialead/cassialead/exchange"
 	"github.com/cassialead/cassialead/fleet"
 	"github.com/cassialead/cassialead/history"
 	"github.com/cassialead/cassialead/node"
@@ -135,7 +135,7 @@
 	if log == nil {
 		log = slog.New(slog.NewTextHandler(io.Discard, nil))
 	}
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	listener, err := exchange.Listen("127.0.0.1:0")
 	if err != nil {
 		return nil, errors.Wrap(err, "start simulated store")
 	}
@@ -146,8 +146,7 @@
 	f := &Fleet{layout: l, Store: standin.NewStore(reads, writes), log: log, rng: rand.New(rand.NewPCG(seed, 0)),
 		transport: &http.Transport{MaxIdleConnsPerHost: 64}, seeds: map[fleet.DataCentre][]fleet.Address{}}
 	f.StoreURL = "http://" + listener.Addr().String()
-	f.server = &http.Server{Handler: f.Store.Handler()}
-	go func() { _ = f.server.Serve(listener) }()
+	f.server = f.Store.Serve(listener, settings.Limits{})
 	f.KV = store.New(f.StoreURL, f.transport, metrics.NewSet())
 	ids := 0
 	f.Versions = history.New(f.KV, time.Now, func() string {
--- a/trial/trial_test.go
+++ b/trial/trial_test.go
@@ -169,7 +169,9 @@
 			Expect(err).NotTo(HaveOccurred())
 			DeferCleanup(conn.Close)
 			Expect(conn.(*net.TCPConn).SetReadBuffer(4 << 10)).To(Succeed())
-			go func() { _, _ = io.WriteString(conn, strings.Repeat("GET /v1/records HTTP/1.1\r\nHost: a\r\n\r\n", 2000)) }() // ends with the connection
+			go func() {
+				_, _ = io.WriteString(conn, strings.Repeat("GET /v1/records HTTP/1.1\r\nHost: a\r\n\r\n", 2000))
+			}() // ends with the connection
 		}
 		time.Sleep(5 * time.Second) // for the answers to fill the buffers of the connections
 		status := make(chan struct{})
