door, listener, agent, node: hosts without a member use half of the connections for nodes

What callers saw: a client sends one call in the form of a node on each of 300 connections; a node that starts afterwards can't reach the first one, and its callers get 503 until the client leaves.

Cause: a connection that had carried a call of a node was kept from then on, whoever sent it, and kept connections give way to none.

Change: the listener for nodes knows the hosts of the members. Connections from elsewhere may use half of its share, give way before those of members, and are not kept. A member's new connection takes the place of an idle one of these. Ruled out: a handshake, since the nodes share no secret that a client could not read or send as well.

--- a/agent/agent.go
+++ b/agent/agent.go
@@ -74,6 +74,7 @@
 	planBurst           bool                           // configurations change faster than they can be watched
 	inflight            inflight
 	guard               *listener.Guard
+	nodeHosts           listener.Hosts // of the other members
 	quotas              quotas
 	servers             []*http.Server
 }
@@ -160,10 +161,23 @@
 	}
 	a.broadcastChange()
 	members := a.view.Members()
+	a.updateNodeHosts(members)
 	a.peers.Update(members, a.deps.Now())
 	a.budget.SetNodes(len(members), a.deps.Now())
 }
 
+// updateNodeHosts records from where the other members connect.
+func (a *Agent) updateNodeHosts(members []member.Member) {
+	own := a.cfg.Load().VM
+	addresses := make([]fleet.Address, 0, len(members))
+	for _, m := range members {
+		if m.Node != own {
+			addresses = append(addresses, m.Address)
+		}
+	}
+	a.nodeHosts.Set(addresses)
+}
+
 // applyPlan puts a configuration into force if it is valid and newer than the current one.
 func (a *Agent) applyPlan(raw []byte, from string) {
 	p, err := platform.ParsePlan(raw)
@@ -282,13 +296,14 @@
 		address fleet.Address
 		handler http.Handler
 		limit   door.Count
+		known   func(net.Addr) bool
 		unread  time.Duration // for a body from the beginning of its handler; zero if the handler sets a deadline
 	}{
-		{"outbound", cfg.CallAddress, http.HandlerFunc(a.serveRequest), shares.Callers, 0},
-		{"inbound", cfg.LinkAddress, http.HandlerFunc(a.servePeer), shares.Nodes, unreadTimeout},
-		{"ready", cfg.ReadinessAddress, a.readyRouter(), shares.Other, unreadTimeout},
-		{"control", cfg.ControlAddress, a.targetRouter(), shares.Other, unreadTimeout},
-		{"metrics", cfg.MetricsAddress, http.HandlerFunc(a.serveMetrics), shares.Other, unreadTimeout},
+		{"outbound", cfg.CallAddress, http.HandlerFunc(a.serveRequest), shares.Callers, nil, 0},
+		{"inbound", cfg.LinkAddress, http.HandlerFunc(a.servePeer), shares.Nodes, a.nodeHosts.Has, unreadTimeout},
+		{"ready", cfg.ReadinessAddress, a.readyRouter(), shares.Other, nil, unreadTimeout},
+		{"control", cfg.ControlAddress, a.targetRouter(), shares.Other, nil, unreadTimeout},
+		{"metrics", cfg.MetricsAddress, http.HandlerFunc(a.serveMetrics), shares.Other, nil, unreadTimeout},
 	} {
 		if s.address == "" {
 			continue
@@ -297,7 +312,7 @@
 		if err != nil {
 			return errors.Wrapf(err, "open %s listener", s.name)
 		}
-		a.servers = append(a.servers, a.guard.Serve(l, listener.Server{Name: s.name, Handler: s.handler, Connections: s.limit, Unread: s.unread}))
+		a.servers = append(a.servers, a.guard.Serve(l, listener.Server{Name: s.name, Handler: s.handler, Connections: s.limit, Known: s.known, Unread: s.unread}))
 	}
 	return nil
 }
--- a/door/sockets.go
+++ b/door/sockets.go
@@ -15,6 +15,7 @@
 	socketBytes        = 16 << 10 // memory of an idle connection: its buffers and its goroutine
 	socketMemoryShare  = 4        // all connections together may use 1/socketMemoryShare of the process's memory
 	leastSockets       = 16       // of each listener
+	strangerShare      = 2        // connections of unknown addresses may use 1/strangerShare of a listener's limit
 	sixteenths         = 16
 )
 
@@ -36,11 +37,12 @@
 
 // Sockets are the connections of one listener.
 type Sockets struct {
-	limit Count
-	now   func() time.Time
-	start time.Time
-	mu    sync.Mutex
-	open  map[*Socket]struct{}
+	limit     Count
+	now       func() time.Time
+	start     time.Time
+	mu        sync.Mutex
+	open      map[*Socket]struct{}
+	strangers Count // of them, those from addresses that are not known
 }
 
 // NewSockets returns a table for at most limit connections.
@@ -52,6 +54,7 @@
 type Socket struct {
 	table    *Sockets
 	close    func()
+	stranger bool
 	progress atomic.Int64 // time of the latest progress since the table's start
 	running  atomic.Bool
 	kept     atomic.Bool
@@ -67,27 +70,42 @@
 	Rejected
 )
 
-// Admit decides on a new connection. If the table is full, it closes the connection that has been idle or stalled for the longest
-// time, or rejects the new one if all others are running a request or are kept.
-func (t *Sockets) Admit(close func()) (*Socket, Verdict) {
-	s := &Socket{table: t, close: close}
+// Admit decides on a new connection. If the table is full, or the share of connections whose address is not known, it closes the
+// connection that has been idle or stalled for the longest time, or rejects the new one if all others are running a request or are kept.
+func (t *Sockets) Admit(known bool, close func()) (*Socket, Verdict) {
+	s := &Socket{table: t, close: close, stranger: !known}
 	s.Progress()
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	verdict := Accepted
-	if Count(len(t.open)) >= t.limit {
-		v := longestIdle(t.open)
+	full := Count(len(t.open)) >= t.limit
+	if tooMany := s.stranger && t.strangers >= t.limit/strangerShare; full || tooMany {
+		v := t.longestIdle(tooMany)
 		if v == nil {
 			return nil, Rejected
 		}
-		delete(t.open, v)
+		t.remove(v)
 		v.close()
 		verdict = Replaced
 	}
 	t.open[s] = struct{}{}
+	if s.stranger {
+		t.strangers++
+	}
 	return s, verdict
 }
 
+// remove forgets a connection, if it is in the table; the caller holds mu.
+func (t *Sockets) remove(s *Socket) {
+	if _, ok := t.open[s]; !ok {
+		return
+	}
+	delete(t.open, s)
+	if s.stranger {
+		t.strangers--
+	}
+}
+
 // Open returns the number of connections.
 func (t *Sockets) Open() Count {
 	t.mu.Lock()
@@ -95,11 +113,14 @@
 	return Count(len(t.open))
 }
 
-// longestIdle returns the connection that has made no progress for the longest time, or nil.
-func longestIdle(open map[*Socket]struct{}) *Socket {
+// longestIdle returns the connection that has made no progress for the longest time, or nil; strangers go first. The caller holds mu.
+func (t *Sockets) longestIdle(strangersOnly bool) *Socket {
 	var v *Socket
-	for s := range open {
-		if !s.running.Load() && !s.kept.Load() && (v == nil || s.progress.Load() < v.progress.Load()) {
+	for s := range t.open {
+		if s.running.Load() || !s.stranger && (strangersOnly || s.kept.Load()) {
+			continue
+		}
+		if v == nil || s.stranger && !v.stranger || s.stranger == v.stranger && s.progress.Load() < v.progress.Load() {
 			v = s
 		}
 	}
@@ -115,12 +136,12 @@
 // Running reports whether a request that has arrived completely is running.
 func (s *Socket) Running() bool { return s.running.Load() }
 
-// Keep excludes a connection of another node from those that are closed for new ones.
+// Keep excludes a connection of another node from those that are closed for new ones, if its address is known.
 func (s *Socket) Keep() { s.kept.Store(true) }
 
 // Remove forgets a closed connection.
 func (s *Socket) Remove() {
 	s.table.mu.Lock()
 	defer s.table.mu.Unlock()
-	delete(s.table.open, s)
+	s.table.remove(s)
 }
--- a/listener/guard.go
+++ b/listener/guard.go
@@ -53,6 +53,8 @@
 	Handler http.Handler
 	// Connections is the number of connections that are open at a time.
 	Connections door.Count
+	// Known reports whether connections come from an address that may use all of Connections; others may use half of them. Nil means any.
+	Known func(net.Addr) bool
 	// Unread is the time for a body from the beginning of its handler; zero if the handler sets a deadline.
 	Unread time.Duration
 }
@@ -68,7 +70,7 @@
 	server.ConnContext = func(ctx context.Context, c net.Conn) context.Context {
 		return context.WithValue(ctx, connKey{}, c.(*Conn))
 	}
-	return &limited{Listener: l, guard: g, name: s.Name, table: table}
+	return &limited{Listener: l, guard: g, name: s.Name, table: table, known: s.Known}
 }
 
 // Serve starts a server on l, see Apply, and returns it.
@@ -89,6 +91,7 @@
 	guard *Guard
 	name  string
 	table *door.Sockets
+	known func(net.Addr) bool
 }
 
 // Accept returns the next connection; it closes those for which there is no room.
@@ -100,7 +103,7 @@
 		}
 		c := &Conn{Conn: nc, guard: l.guard}
 		c.inHead.Store(true)
-		socket, verdict := l.table.Admit(func() { _ = nc.Close() })
+		socket, verdict := l.table.Admit(l.known == nil || l.known(nc.RemoteAddr()), func() { _ = nc.Close() })
 		if verdict != door.Accepted {
 			l.guard.countClosed(`cassialead_connections_closed_total{listener="`+l.name+`"}`, "connection closed, listener is full", "listener", l.name,
 				"from", nc.RemoteAddr(), "rejected", verdict == door.Rejected)
--- a/node/act.go
+++ b/node/act.go
@@ -90,6 +90,13 @@
 	records := machine.Records()
 	live := slices.DeleteFunc(records, func(r fleet.Record) bool { return !r.Live() })
 	n.knownNodes.Store(int64(len(live)))
+	addresses := make([]fleet.Address, 0, len(live))
+	for _, r := range live {
+		if r.Node != n.cfg.VM {
+			addresses = append(addresses, r.LinkAddress)
+		}
+	}
+	n.nodeHosts.Set(addresses)
 	n.gateway.Update(cfg, active.Version, live)
 }
 
--- a/node/node.go
+++ b/node/node.go
@@ -48,14 +48,15 @@
 
 // Node is one node of the fleet: its HTTP servers, its links to other nodes and its event loop.
 type Node struct {
-	cfg      settings.Node
-	deps     Deps
-	limits   settings.Limits
-	guard    *listener.Guard
-	traffic  *link.Traffic
-	gateway  *gateway.Gateway
-	versions *history.Log
-	targets  *targetRegistry
+	cfg       settings.Node
+	deps      Deps
+	limits    settings.Limits
+	guard     *listener.Guard
+	nodeHosts listener.Hosts // of the other nodes
+	traffic   *link.Traffic
+	gateway   *gateway.Gateway
+	versions  *history.Log
+	targets   *targetRegistry
 
 	events     chan any
 	mu         sync.Mutex // guards links
@@ -121,7 +122,7 @@
 		Targets: n.targets, Balancer: n.deps.Balancer, ClaimStore: newClaimStore(n.deps.Store)})
 	shares := door.NewShares(n.limits.Descriptors, door.Bytes(n.limits.MemoryBytes))
 	n.callServer = n.guard.Serve(callListener, listener.Server{Name: "call", Handler: n.gateway.IngressHandler(), Connections: shares.Callers})
-	n.linkServer = n.guard.Serve(n.traffic.WrapListener(linkListener), listener.Server{Name: "link", Handler: n.linkRouter(), Connections: shares.Nodes})
+	n.linkServer = n.guard.Serve(n.traffic.WrapListener(linkListener), listener.Server{Name: "link", Handler: n.linkRouter(), Connections: shares.Nodes, Known: n.nodeHosts.Has})
 	n.localServer = n.guard.Serve(localListener, listener.Server{Name: "local", Handler: n.localRouter(), Connections: shares.Other, Unread: localBodyTimeout})
 	return nil
 }
