door, listener: the kernel's memory for connections is bounded

The kernel's buffers are memory of the VM, which ends the process when both come at once.

Cause: nothing set the sizes of buffers or knew their sum; the system's sizes grow to 4 MiB out and 32 MiB in for each connection.

Change: accepted connections have buffers of a fixed size, larger ones in while a body of 1 MiB or more arrives. The sum is measured (SO_MEMINFO) by whoever adds to it, when it may have grown by a sixteenth of the memory since the last time, so that it grows no faster than it is measured, and ten times more at intervals of 20 ms if it could exceed its eighth. Beyond that, the connections that hold most are reset; a plain close would leave their bytes in the kernel. The test counts such bytes now, too (sockets without a process on the node's ports).

Ruled out: fixed buffers alone (a sum within the eighth needs 20 KiB each; a trial with 4 KiB received 40 KB/s over loopback, with drops and timeouts), and a timer of 100 ms (267 MB within it).

--- /dev/null
+++ b/door/buffers_test.go
@@ -0,0 +1,53 @@
+package door
+
+import (
+	"slices"
+	"testing"
+)
+
+// Connections that hold little were closed for those that hold much, or none although all together exceeded the limit.
+func TestExcessNamesTheLargest(t *testing.T) {
+	const limit = 1 << 20 // bytes: an eighth of the memory below
+	for name, c := range map[string]struct {
+		held  []Bytes
+		keeps int // index of the connection that is not closed, or -1
+		want  []int
+		again bool
+	}{
+		"within the limit":            {[]Bytes{100 << 10, 200 << 10}, -1, nil, false},
+		"near to it":                  {[]Bytes{300 << 10, 300 << 10}, -1, nil, true},
+		"beyond it":                   {[]Bytes{10 << 10, 700 << 10, 500 << 10}, -1, []int{1}, true},
+		"far beyond it":               {[]Bytes{900 << 10, 10 << 10, 900 << 10, 800 << 10}, -1, []int{0, 2}, true},
+		"beyond it by one that stays": {[]Bytes{10 << 10, 2 << 20, 500 << 10}, 1, []int{2, 0}, true},
+		"many that could exceed it":   {make([]Bytes, 9), -1, nil, true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			var all []Buffered[int]
+			for i, n := range c.held {
+				all = append(all, Buffered[int]{Conn: i, Bytes: n, Keeps: i == c.keeps})
+			}
+			got, again := Excess(NewBuffers(limit*bufferMemoryShare), all)
+			if !slices.Equal(got, c.want) || again != c.again {
+				t.Errorf("closes %v again %v, want %v and %v", got, again, c.want, c.again)
+			}
+		})
+	}
+}
+
+// Buffers grew beyond the limit between two measurements.
+func TestGrewAsksForAMeasurement(t *testing.T) {
+	b := NewBuffers(8 << 20)
+	if b.Grew(400 << 10) {
+		t.Error("a measurement far from the limit")
+	}
+	if !b.Grew(200 << 10) {
+		t.Error("no measurement after half of the limit")
+	}
+	b.Measuring()
+	if b.Grew(100) {
+		t.Error("a measurement after the last one")
+	}
+	if NewBuffers(0).Grew(1 << 30) {
+		t.Error("a measurement without a limit")
+	}
+}
--- a/door/sockets.go
+++ b/door/sockets.go
@@ -139,6 +139,9 @@
 // Keep excludes a connection of another node from those that are closed for new ones, if its address is known.
 func (s *Socket) Keep() { s.kept.Store(true) }
 
+// Kept reports whether Keep excludes the connection from those that are closed for new ones.
+func (s *Socket) Kept() bool { return s.kept.Load() && !s.stranger }
+
 // Remove forgets a closed connection.
 func (s *Socket) Remove() {
 	s.table.mu.Lock()
--- a/listener/body.go
+++ b/listener/body.go
@@ -80,6 +80,9 @@
 			if next >= collectSize && hold.Large() {
 				runtime.GC() // the runtime allocates before it collects, and an earlier body of this size may still be garbage
 			}
+			if next >= longBody {
+				c.growReceiveBuffer()
+			}
 			body = append(make([]byte, 0, next), body...)
 		}
 		n, err := r.Read(body[len(body):cap(body)])
--- a/listener/conn.go
+++ b/listener/conn.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"github.com/cockroachdb/errors"
+	"golang.org/x/sys/unix"
 
 	"github.com/cassialead/cassialead/door"
 )
@@ -33,6 +34,7 @@
 
 	// The fields below are used by one goroutine at a time: the one that serves the connection.
 	size, lines int
+	grown       bool       // the receive buffer is that for long bodies
 	hold        *door.Hold // of the present request; nil until it needs memory
 }
 
@@ -102,8 +104,32 @@
 	return err
 }
 
+// Write writes to the connection and records by how much its buffer may have grown.
+func (c *Conn) Write(p []byte) (int, error) {
+	n, err := c.Conn.Write(p)
+	c.guard.buffers.grew(n)
+	return n, err
+}
+
+// growReceiveBuffer lets a long body arrive faster than the first buffer of a connection does.
+func (c *Conn) growReceiveBuffer() {
+	if c.grown {
+		return
+	}
+	c.grown = true
+	setBuffers(c, 0, bodyBuffer)
+	c.guard.buffers.grew(2 * bodyBuffer) // the kernel doubles the size for its own use
+}
+
+// abort ends the connection and discards what its client has not taken, which the kernel would keep otherwise. The server closes it then.
+func (c *Conn) abort() {
+	control(c.Conn, func(fd int) { _ = unix.SetsockoptLinger(fd, unix.SOL_SOCKET, unix.SO_LINGER, &unix.Linger{Onoff: 1}) })
+	_ = c.Conn.Close()
+}
+
 // Close closes the connection.
 func (c *Conn) Close() error {
+	c.guard.buffers.remove(c)
 	c.socket.Remove()
 	return c.Conn.Close()
 }
--- a/listener/guard.go
+++ b/listener/guard.go
@@ -33,13 +33,15 @@
 
 // Guard holds the limits that the servers of a process share.
 type Guard struct {
-	deps   Deps
-	memory *door.Budget
+	deps    Deps
+	memory  *door.Budget
+	buffers *buffers
 }
 
 // New returns the limits of a process with the given memory; zero means no limit.
 func New(memory door.Bytes, deps Deps) *Guard {
 	g := &Guard{deps: deps, memory: door.NewBudget(memory, deps.Now)}
+	g.buffers = newBuffers(memory, g)
 	deps.Metrics.GetOrCreateGauge("cassialead_request_memory_bytes", func() float64 { return float64(g.memory.Used()) })
 	return g
 }
@@ -103,7 +105,7 @@
 		}
 		c := &Conn{Conn: nc, guard: l.guard}
 		c.inHead.Store(true)
-		socket, verdict := l.table.Admit(l.known == nil || l.known(nc.RemoteAddr()), func() { _ = nc.Close() })
+		socket, verdict := l.table.Admit(l.known == nil || l.known(nc.RemoteAddr()), c.abort)
 		if verdict != door.Accepted {
 			l.guard.countClosed(`cassialead_connections_closed_total{listener="`+l.name+`"}`, "connection closed, listener is full", "listener", l.name,
 				"from", nc.RemoteAddr(), "rejected", verdict == door.Rejected)
@@ -114,6 +116,7 @@
 			continue
 		}
 		c.socket = socket
+		l.guard.buffers.admit(c)
 		return c, nil
 	}
 }
--- a/soak/door_test.go
+++ b/soak/door_test.go
@@ -98,6 +98,11 @@
 		t.Fatal(err)
 	}
 	n.process = startProcess(t, string(o.vm), nodeEnv+"=1", platform.SettingsVariable+"="+file)
+	for _, a := range addresses {
+		_, port, _ := net.SplitHostPort(string(a))
+		number, _ := strconv.Atoi(port)
+		n.ports = append(n.ports, uint16(number))
+	}
 	go n.sendHeartbeats()
 	return n
 }
--- a/soak/process_test.go
+++ b/soak/process_test.go
@@ -22,6 +22,7 @@
 	log string
 	// writeBuffer is the send buffer of the connections of a crowd in bytes; zero means that of the system.
 	writeBuffer int
+	ports       []uint16 // on which it listens
 	exited      chan struct{}
 }
 
--- a/soak/sockets_test.go
+++ b/soak/sockets_test.go
@@ -17,9 +17,10 @@
 	diagMemory       = 7  // attribute with the memory of a socket
 	diagHead         = 72 // bytes of a message before its attributes
 	diagInode        = 68 // offset of the socket's inode
+	diagPort         = 4  // offset of its own port
 )
 
-// socketMemory returns the kernel memory of TCP sockets by inode, in bytes.
+// socketMemory returns the kernel memory of TCP sockets, in bytes, by inode, and by own port for those that are closed and not yet empty.
 func socketMemory() (map[string]int, error) {
 	fd, err := syscall.Socket(syscall.AF_NETLINK, syscall.SOCK_RAW|syscall.SOCK_CLOEXEC, sockDiag)
 	if err != nil {
@@ -66,7 +67,10 @@
 	if len(data) < diagHead {
 		return
 	}
-	inode := fmt.Sprint(binary.NativeEndian.Uint32(data[diagInode:]))
+	key := fmt.Sprint(binary.NativeEndian.Uint32(data[diagInode:]))
+	if key == "0" {
+		key = portKey(binary.BigEndian.Uint16(data[diagPort:]))
+	}
 	for a := data[diagHead:]; len(a) >= 4; {
 		size := int(binary.NativeEndian.Uint16(a))
 		if size < 4 || size > len(a) {
@@ -74,12 +78,14 @@
 		}
 		if binary.NativeEndian.Uint16(a[2:]) == diagMemory && size >= 4+6*4 {
 			figure := func(i int) int { return int(binary.NativeEndian.Uint32(a[4+4*i:])) }
-			memory[inode] = figure(0) + figure(2) + figure(5) // received, being sent, queued to be sent
+			memory[key] += figure(0) + figure(2) + figure(5) // received, being sent, queued to be sent
 		}
 		a = a[min((size+3)&^3, len(a)):]
 	}
 }
 
+func portKey(port uint16) string { return fmt.Sprintf(":%d", port) }
+
 // sockets returns the kernel memory of the process's TCP sockets, in bytes.
 func (p *process) sockets() (int, error) {
 	memory, err := socketMemory()
@@ -89,6 +95,9 @@
 	dir := fmt.Sprintf("/proc/%d/fd/", p.cmd.Process.Pid)
 	entries, _ := os.ReadDir(dir)
 	sum := 0
+	for _, port := range p.ports {
+		sum += memory[portKey(port)]
+	}
 	for _, e := range entries {
 		if name, err := os.Readlink(dir + e.Name()); err == nil {
 			if inode, ok := strings.CutPrefix(name, "socket:["); ok {
