soak, listener: slow readers, a crowd beside a node that catches up or stops; tests of the listener

Forms that no test had: answers that are read a byte at a time, at each process; a crowd while a node reads a new version after its store was away; a stop by SIGTERM beside a crowd, after which the process has to end with 0. Crowd and bounds are those of the other forms.

--- a/soak/door_test.go
+++ b/soak/door_test.go
@@ -268,6 +268,25 @@
 	}
 }
 
+// slowReaders opens connections to an address, sends text on each and reads a byte of the answers every 100 ms.
+func (p *process) slowReaders(count int, address fleet.Address, text string) {
+	b := []byte(text)
+	for range count {
+		conn, err := net.DialTimeout("tcp4", string(address), 5*time.Second)
+		if err != nil {
+			continue
+		}
+		p.t.Cleanup(func() { _ = conn.Close() })
+		_ = conn.(*net.TCPConn).SetReadBuffer(4 << 10)
+		go func() { _, _ = conn.Write(b) }() // fails if the process closes the connection
+		go func() {
+			for one := make([]byte, 1); err == nil; time.Sleep(100 * time.Millisecond) {
+				_, err = conn.Read(one)
+			}
+		}()
+	}
+}
+
 // head returns the head of a POST to a path with further fields.
 func head(path, fields string) string {
 	return "POST " + path + " HTTP/1.1\r\nHost: a.example\r\nRequest-Id: m\r\n" + fields + "\r\n"
--- a/soak/doorfleet_test.go
+++ b/soak/doorfleet_test.go
@@ -10,6 +10,7 @@
 	"os"
 	"strings"
 	"sync"
+	"syscall"
 	"testing"
 	"time"
 
@@ -100,6 +101,39 @@
 			n.crowd(doorCrowd, n.cfg.CallAddress, stopped)
 			n.check(n.request)
 		},
+		"while a node catches up": func(t *testing.T) {
+			n := startDoorNode(t)
+			n.store.SetFaults(standin.Faults{Reset: true})
+			n.crowd(doorCrowd, n.cfg.CallAddress, stopped)
+			n.store.Put("op/config", bytes.Replace(doorPlan(t, doorBody), []byte(`"version":1`), []byte(`"version":2`), 1))
+			n.crowd(doorCrowd, n.cfg.LinkAddress, withLength("/cassialead/view", 4<<20, 1<<20))
+			n.store.SetFaults(standin.Faults{})
+			n.check(n.request)
+		},
+		"by readers of a byte at a time": func(t *testing.T) {
+			n := startDoorNode(t)
+			n.slowReaders(doorCrowd, n.cfg.CallAddress, pipeline("/stock/big", "Request-Id: m\r\n", 100))
+			for address, path := range n.listeners() {
+				n.slowReaders(doorCrowd/6, address, pipeline(path, "", 1000))
+			}
+			n.check(n.request)
+		},
+		"a stop beside a crowd": func(t *testing.T) {
+			n := startDoorNode(t)
+			n.crowd(doorCrowd, n.cfg.CallAddress, stopped)
+			n.crowd(doorCrowd, n.cfg.CallAddress, pipeline("/stock/big", "Request-Id: m\r\n", 2000))
+			if err := n.cmd.Process.Signal(syscall.SIGTERM); err != nil {
+				t.Fatal(err)
+			}
+			select {
+			case <-n.exited:
+				if code := n.cmd.ProcessState.ExitCode(); code != 0 {
+					t.Errorf("exit code %d, want 0", code)
+				}
+			case <-time.After(doorEnd):
+				t.Error("the process has not ended")
+			}
+		},
 		"from many addresses": func(t *testing.T) {
 			n := startDoorNode(t)
 			n.crowdFrom(elsewhere, doorCrowd, n.cfg.CallAddress, stopped)
@@ -131,6 +165,9 @@
 	}
 }
 
+// doorEnd is a time after which a process that has been told to stop counts as hanging.
+const doorEnd = 60 * time.Second
+
 // doorLog bounds the log of a node during a form: 15 lines a second of each event that a connection can cause.
 const doorLog = 512 << 10
 
--- a/soak/doornode_test.go
+++ b/soak/doornode_test.go
@@ -150,6 +150,11 @@
 			f.node.crowd(third, f.link, pipeline("/v1/document", "", 20_000))
 			f.node.crowd(third, f.link, pipeline("/metrics", "", 20_000))
 		},
+		"answers are read a byte at a time": func(f *ownFleet) {
+			f.node.slowReaders(third, f.call, pipeline("/stock/1?bytes=250000", "", 100))
+			f.node.slowReaders(third, f.link, pipeline("/stock/1?bytes=250000", peerFields, 100))
+			f.node.slowReaders(third, f.local, pipeline("/metrics", "", 1000))
+		},
 		"frames of links stop one byte short": func(f *ownFleet) {
 			handshake, frame := stoppedFrame("/link", 4<<20-1)
 			f.node.upgradedCrowd(doorCrowd, f.link, handshake, frame)
@@ -184,6 +189,7 @@
 			p.crowd(doorCrowd, address, as(strings.TrimSuffix(head(path, shortFields(100_000)), "\r\n")))
 		},
 		"many requests on a connection without reading answers": func() { p.crowd(doorCrowd, address, pipeline(long, "", 5000)) },
+		"answers are read a byte at a time":                     func() { p.slowReaders(doorCrowd, address, pipeline(long, "", 100)) },
 		"connections stay silent or stop in their first line": func() {
 			p.crowd(doorCrowd/2, address, "")
 			p.crowd(doorCrowd/2, address, "GET / HT")
@@ -193,7 +199,7 @@
 
 // formNames are the keys of forms.
 var formNames = []string{"bodies with a length stop one byte short", "bodies in chunks stop short of their end", "bodies arrive a byte at a time",
-	"bodies far over the limit", "heads of many short fields that stop", "many requests on a connection without reading answers",
+	"bodies far over the limit", "heads of many short fields that stop", "many requests on a connection without reading answers", "answers are read a byte at a time",
 	"connections stay silent or stop in their first line"}
 
 // Guards against a stand-in store that ends, and takes the fleet with it, when clients of the machine misbehave.
