--- a/door/buffers.go
+++ b/door/buffers.go
@@ -35,6 +35,8 @@
 type Buffered[T any] struct {
 	Conn  T
 	Bytes Bytes
+	// Known is set for a connection that is not expected to fill its buffers.
+	Known bool
 	// Keeps excludes a connection from those that are closed.
 	Keeps bool
 }
@@ -42,11 +44,14 @@
 // Excess returns the connections to close so that the others stay within the limit, the largest first, and whether the buffers have to be
 // measured again soon: they are near to the limit, or could exceed it.
 func Excess[T any](b *Buffers, all []Buffered[T]) (excess []T, again bool) {
-	var sum Bytes
+	var sum, expected Bytes
 	for _, c := range all {
 		sum += c.Bytes
+		if !c.Known {
+			expected += firstReceived
+		}
 	}
-	again = sum > b.limit/2 || Bytes(len(all))*firstReceived > b.limit
+	again = sum > b.limit/2 || expected > b.limit
 	if sum <= b.limit {
 		return nil, again
 	}
--- a/door/buffers_test.go
+++ b/door/buffers_test.go
@@ -20,11 +20,12 @@
 		"far beyond it":               {[]Bytes{900 << 10, 10 << 10, 900 << 10, 800 << 10}, -1, []int{0, 2}, true},
 		"beyond it by one that stays": {[]Bytes{10 << 10, 2 << 20, 500 << 10}, 1, []int{2, 0}, true},
 		"many that could exceed it":   {make([]Bytes, 9), -1, nil, true},
+		"many of known hosts":         {make([]Bytes, 9), -1, nil, false},
 	} {
 		t.Run(name, func(t *testing.T) {
 			var all []Buffered[int]
 			for i, n := range c.held {
-				all = append(all, Buffered[int]{Conn: i, Bytes: n, Keeps: i == c.keeps})
+				all = append(all, Buffered[int]{Conn: i, Bytes: n, Known: name == "many of known hosts", Keeps: i == c.keeps})
 			}
 			got, again := Excess(NewBuffers(limit*bufferMemoryShare), all)
 			if !slices.Equal(got, c.want) || again != c.again {
--- a/listener/buffers.go
+++ b/listener/buffers.go
@@ -36,13 +36,13 @@
 	return &buffers{Buffers: door.NewBuffers(memory), guard: g, conns: map[*Conn]struct{}{}}
 }
 
-// admit follows a new connection.
+// admit follows a new connection. One from a known host is not expected to fill its buffers.
 func (b *buffers) admit(c *Conn) {
 	setBuffers(c, sendBuffer, receiveBuffer)
 	b.mu.Lock()
 	b.conns[c] = struct{}{}
 	b.mu.Unlock()
-	if b.Admitted() {
+	if !c.known && b.Admitted() {
 		b.limit()
 	}
 }
@@ -80,7 +80,7 @@
 	b.mu.Lock()
 	all := make([]door.Buffered[*Conn], 0, len(b.conns))
 	for c := range b.conns {
-		all = append(all, door.Buffered[*Conn]{Conn: c, Keeps: c.socket.Kept()})
+		all = append(all, door.Buffered[*Conn]{Conn: c, Known: c.known, Keeps: c.socket.Kept()})
 	}
 	b.mu.Unlock()
 	for i := range all {
--- a/listener/conn.go
+++ b/listener/conn.go
@@ -29,6 +29,7 @@
 	net.Conn
 	guard   *Guard
 	socket  *door.Socket
+	known   bool // comes from a host that is expected
 	evicted atomic.Bool
 	inHead  atomic.Bool
 
--- a/listener/guard.go
+++ b/listener/guard.go
@@ -103,9 +103,9 @@
 		if err != nil {
 			return nil, err
 		}
-		c := &Conn{Conn: nc, guard: l.guard}
+		c := &Conn{Conn: nc, guard: l.guard, known: l.known != nil && l.known(nc.RemoteAddr())}
 		c.inHead.Store(true)
-		socket, verdict := l.table.Admit(l.known == nil || l.known(nc.RemoteAddr()), c.abort)
+		socket, verdict := l.table.Admit(l.known == nil || c.known, c.abort)
 		if verdict != door.Accepted {
 			l.guard.countClosed(`cassialead_connections_closed_total{listener="`+l.name+`"}`, "connection closed, listener is full", "listener", l.name,
 				"from", nc.RemoteAddr(), "rejected", verdict == door.Rejected)
