quota: a request that is taken back leaves its own part of the window

Cause: a request that is admitted and refused later, often after seconds in a queue, was subtracted from the part of the window at that moment. It left the window with its own part all the same: until the later part left too, the count was too low by all requests taken back meanwhile, and others were admitted in their place.

Change: it is subtracted from the part in which it was admitted, or not at all if that has left the window.

--- a/agent/quota.go
+++ b/agent/quota.go
@@ -272,7 +272,8 @@
 	if adm.Account == nil {
 		return nil, func(hop.Outcome) {}
 	}
-	d := a.quotas.limiter.Admit(a.deps.Now(), adm.Account)
+	now := a.deps.Now()
+	d := a.quotas.limiter.Admit(now, adm.Account)
 	if !d.Admitted {
 		a.deps.Metrics.GetOrCreateCounter("cassialead_over_quota_total").Inc()
 		s := a.quotas.limiter.Standing(a.deps.Now(), adm.Account)
@@ -283,7 +284,7 @@
 	in.Excess = d.Excess
 	return nil, func(o hop.Outcome) {
 		if _, refused := o.(hop.Refused); refused {
-			a.quotas.limiter.Refund(adm.Account)
+			a.quotas.limiter.Refund(adm.Account, now)
 		}
 	}
 }
--- a/quota/limiter.go
+++ b/quota/limiter.go
@@ -196,15 +196,19 @@
 	return Standing{s.share, s.used(), l.nodeLimit(now, s, a), l.fleetShare(now, s, a), l.others.Demand[a.Name]}
 }
 
-// Refund takes back the admission of a request that has reached no target.
-func (l *Limiter) Refund(a *tenant.Account) {
+// Refund takes back the admission of a request that was admitted at the given time and has reached no target.
+func (l *Limiter) Refund(a *tenant.Account, at time.Time) {
 	if a.Limit <= 0 {
 		return
 	}
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	if s := l.local[a.Name]; s != nil {
-		s.admitted[0] = max(s.admitted[0]-1, 0)
+	s := l.local[a.Name]
+	if s == nil {
+		return
+	}
+	if part := s.partOf(at, l.slotLength()); part < len(s.admitted) {
+		s.admitted[part] = max(s.admitted[part]-1, 0)
 	}
 }
 
@@ -226,6 +230,14 @@
 	clear(s.admitted[:n])
 }
 
+// partOf returns the index of the part of the window to which a time belongs; it is beyond the window if that part has left it.
+func (s *account) partOf(at time.Time, length time.Duration) int {
+	if !at.Before(s.slotAt) {
+		return 0
+	}
+	return 1 + int((s.slotAt.Sub(at)-1)/length)
+}
+
 // used returns the requests admitted in the last window.
 func (s *account) used() int {
 	used := 0
--- a/quota/limiter_test.go
+++ b/quota/limiter_test.go
@@ -252,3 +252,45 @@
 		t.Errorf("a window got %.2f of the new limit", w)
 	}
 }
+
+// Requests that were taken back made room for others in another part of the window than their own, so that more ran than a window allows.
+func TestRefundedRequestsLeaveNoRoomElsewhere(t *testing.T) {
+	const (
+		tick   = 5 * time.Millisecond // between two requests
+		waited = 2 * time.Second      // until a request is taken back
+		wave   = 8 * time.Second      // in which all requests are
+		length = 15 * time.Second
+	)
+	a := &tenant.Account{Name: "a", Limit: 100, Burst: 100}
+	allowed := (float64(a.Limit)*rules.Window.Seconds()+a.Burst)*(1+rules.Over) + rules.Slack
+	start := time.Unix(1000, 0)
+	l := quota.NewLimiter(rules, rand.New(rand.NewPCG(1, 1)).Float64)
+	l.Admit(start.Add(-2*rules.Window), a)
+	var refunds, ran []time.Time
+	for now := start; now.Before(start.Add(length)); now = now.Add(tick) {
+		for len(refunds) > 0 && !now.Before(refunds[0].Add(waited)) {
+			l.Refund(a, refunds[0])
+			refunds = refunds[1:]
+		}
+		switch {
+		case !l.Admit(now, a).Admitted:
+		case now.Before(start.Add(wave)):
+			refunds = append(refunds, now)
+		default:
+			ran = append(ran, now)
+		}
+	}
+	most := 0
+	for i, from := range ran {
+		n := 0
+		for _, at := range ran[i:] {
+			if at.Before(from.Add(rules.Window)) {
+				n++
+			}
+		}
+		most = max(most, n)
+	}
+	if float64(most) > allowed || most == 0 {
+		t.Errorf("%d requests ran in a window that allows %.0f", most, allowed)
+	}
+}
