door, listener: buffers are measured more often after they have grown

The bound on the kernel's memory let a burst through: in one of three runs the answers of all listeners took 33.5 + 37.3 MB of 64, within the 20 ms between two measurements. It also stopped after 200 ms, so that connections which fill their buffers later, without an answer, were not seen.

Now measurements come each 5 ms for 200 ms after buffers have grown and while more than half of the limit is in use, and each second while the connections could exceed it; a measurement of 1,000 connections takes about a millisecond. Ruled out: a pause between accepted connections, with which 18 of 24 runs failed, because the waiting ones fill buffers that nobody measures.

Evidence: go test ./soak -run TestDoorSocketMemory, four runs: all 24 pass, at most 31.9 + 24.5 MB of 64 and 142.5 + 22.9 MB of 184.

--- a/door/buffers.go
+++ b/door/buffers.go
@@ -41,9 +41,18 @@
 	Keeps bool
 }
 
-// Excess returns the connections to close so that the others stay within the limit, the largest first, and whether the buffers have to be
-// measured again soon: they are near to the limit, or could exceed it.
-func Excess[T any](b *Buffers, all []Buffered[T]) (excess []T, again bool) {
+// Pressure says how near the buffers are to their limit.
+type Pressure int
+
+// The pressures.
+const (
+	Low      Pressure = iota
+	Possible          // the connections could exceed the limit if all of them filled their buffers
+	High              // more than half of the limit is in use
+)
+
+// Excess returns the connections to close so that the others stay within the limit, the largest first, and the pressure before that.
+func Excess[T any](b *Buffers, all []Buffered[T]) (excess []T, p Pressure) {
 	var sum, expected Bytes
 	for _, c := range all {
 		sum += c.Bytes
@@ -51,9 +60,14 @@
 			expected += firstReceived
 		}
 	}
-	again = sum > b.limit/2 || expected > b.limit
+	switch {
+	case sum > b.limit/2:
+		p = High
+	case expected > b.limit:
+		p = Possible
+	}
 	if sum <= b.limit {
-		return nil, again
+		return nil, p
 	}
 	slices.SortFunc(all, func(x, y Buffered[T]) int { return cmp.Compare(y.Bytes, x.Bytes) })
 	for _, c := range all {
@@ -65,5 +79,5 @@
 			sum -= c.Bytes
 		}
 	}
-	return excess, again
+	return excess, p
 }
--- a/listener/buffers.go
+++ b/listener/buffers.go
@@ -14,12 +14,13 @@
 )
 
 const (
-	sendBuffer    = 128 << 10             // bytes of an answer that the kernel takes before its client reads
-	receiveBuffer = 64 << 10              // bytes that the kernel takes before they are read
-	bodyBuffer    = 512 << 10             // the same while a long body is read
-	longBody      = 256 << 10             // bytes of a body from which it is
-	remeasure     = 20 * time.Millisecond // between two measurements of buffers that could exceed their limit
-	remeasures    = 10                    // measurements after buffers have grown
+	sendBuffer    = 128 << 10            // bytes of an answer that the kernel takes before its client reads
+	receiveBuffer = 64 << 10             // bytes that the kernel takes before they are read
+	bodyBuffer    = 256 << 10            // the same while a long body is read
+	longBody      = 1 << 20              // bytes of a body from which it is
+	remeasure     = 5 * time.Millisecond // between two measurements after buffers have grown
+	remeasures    = 40                   // such measurements
+	remeasureSlow = time.Second          // between two later ones, while the connections could exceed the limit
 )
 
 // buffers measures the kernel's memory for connections and closes those that hold too much.
@@ -60,22 +61,31 @@
 	delete(b.conns, c)
 }
 
-// limit measures the buffers at once, so that they grow no faster than they are measured, and some times more if need be.
+// limit measures the buffers at once, so that they grow no faster than they are measured, and again until the pressure is low.
 func (b *buffers) limit() {
-	if !b.measure() || !b.repeating.CompareAndSwap(false, true) {
+	if b.measure() == door.Low || !b.repeating.CompareAndSwap(false, true) {
 		return
 	}
 	go func() {
-		for range remeasures {
-			time.Sleep(remeasure)
-			b.measure()
+		defer b.repeating.Store(false)
+		for left := remeasures; ; left = max(left-1, 0) {
+			if left > 0 {
+				time.Sleep(remeasure)
+			} else {
+				time.Sleep(remeasureSlow)
+			}
+			switch p := b.measure(); {
+			case p == door.High:
+				left = remeasures
+			case p == door.Low && left == 0:
+				return
+			}
 		}
-		b.repeating.Store(false)
 	}()
 }
 
-// measure closes the connections beyond the limit; it reports whether to measure again soon.
-func (b *buffers) measure() bool {
+// measure closes the connections beyond the limit and returns the pressure before that.
+func (b *buffers) measure() door.Pressure {
 	b.Measuring()
 	b.mu.Lock()
 	all := make([]door.Buffered[*Conn], 0, len(b.conns))
@@ -86,12 +96,12 @@
 	for i := range all {
 		all[i].Bytes = kernelMemory(all[i].Conn)
 	}
-	excess, again := door.Excess(b.Buffers, all)
+	excess, p := door.Excess(b.Buffers, all)
 	for _, c := range excess {
 		b.guard.countClosed(`cassialead_requests_closed_total{held="buffers"}`, "connection closed, its client does not read or sends ahead", "from", c.RemoteAddr())
 		c.abort()
 	}
-	return again
+	return p
 }
 
 // control runs f on the descriptor of a connection, unless it has been closed.
