link: the kernel's memory for connections of other nodes counts at an operator's node

What operators saw: clients that send calls in the form of nodes and read no answers: 30.6 MB resident and 134.6 MB in the kernel, of 64.

Cause: the connection that counts the bytes of links hid its descriptor, so that its buffers could be neither set nor measured.

Crowd and bounds stay.

--- a/link/conn.go
+++ b/link/conn.go
@@ -5,6 +5,7 @@
 	"net"
 	"net/http"
 	"sync"
+	"syscall"
 	"time"
 
 	"github.com/VictoriaMetrics/metrics"
@@ -80,6 +81,15 @@
 	return nil
 }
 
+// SyscallConn returns the raw connection.
+func (c countingConn) SyscallConn() (syscall.RawConn, error) {
+	sc, ok := c.Conn.(syscall.Conn)
+	if !ok {
+		return nil, errors.New("connection has no descriptor")
+	}
+	return sc.SyscallConn()
+}
+
 // WrapListener returns a listener that counts the bytes of its connections.
 func (t *Traffic) WrapListener(l net.Listener) net.Listener { return countingListener{l, t} }
 
--- a/soak/doornode_test.go
+++ b/soak/doornode_test.go
@@ -174,6 +174,33 @@
 	}
 }
 
+// Guards against a node of an operator that leaves out what the kernel holds for its connections.
+func TestDoorOwnNodeSockets(t *testing.T) {
+	for name, attack := range map[string]func(*ownFleet){
+		"answers that callers do not read": func(f *ownFleet) {
+			f.node.crowd(doorCrowd, f.call, pipeline("/stock/1?bytes=250000", "", 2000))
+		},
+		"answers that nodes do not read": func(f *ownFleet) {
+			f.node.crowd(doorCrowd, f.link, pipeline("/stock/1?bytes=250000", peerFields, 2000))
+		},
+		"answers to operators that are not read": func(f *ownFleet) {
+			f.node.crowd(doorCrowd, f.local, pipeline("/metrics", "", 20_000))
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			f := startOwnFleet(t)
+			stop := f.node.watchFootprint(t)
+			attack(f)
+			f.node.check(f.request)
+			worst := stop()
+			t.Logf("resident %.1f MB and sockets %.1f MB", float64(worst.resident)/(1<<20), float64(worst.sockets)/(1<<20))
+			if worst.total() > doorMemoryMB<<20 {
+				t.Errorf("%d bytes resident and %d in sockets, want at most %d MB", worst.resident, worst.sockets, doorMemoryMB)
+			}
+		})
+	}
+}
+
 // forms are the requests of misbehaving clients at a path of a server that reads bodies and sends long answers.
 func (p *process) forms(address fleet.Address, method, path, long string) map[string]func() {
 	as := func(text string) string { return method + strings.TrimPrefix(text, http.MethodPost) }
