Review case 15: pipelined requests of clients that have left are run

net/http stops watching a connection once a byte of a further request has arrived, and nothing takes its place: the first request of a caller that has left runs to its end, and the one behind it is dispatched then.

--- a/review/_standin-3/pipelined.go
+++ b/review/_standin-3/pipelined.go
@@ -11,23 +11,25 @@
 )
 
 const (
-	leavers   = 16                     // clients that leave
-	workTime  = 2 * time.Second        // of a call at the slow upstream
-	leaveTime = 700 * time.Millisecond // after the first request
-	goneAfter = 500 * time.Millisecond // after the close
-	fewCalls  = 5                      // that may reach an upstream later than that
+	leavers   = 16                      // clients that leave
+	ahead     = 3                       // requests that each sends before the first is answered
+	workTime  = 1200 * time.Millisecond // of a call; the sheet has 240 ms on average and 2,500 ms at most
+	leaveTime = 400 * time.Millisecond  // after the first request, half of the latency objective
+	goneAfter = 500 * time.Millisecond  // after the close
+	fewCalls  = 5                       // that may reach an upstream later than that
 )
 
+// pipelinedLeave has clients that send requests ahead of the first answer and leave before it.
 func pipelinedLeave(rec *record, trouble bool) (int, error) {
 	f, err := newFleet(rec)
 	if err != nil {
 		return notRun, err
 	}
 	defer f.close()
-	front := f.add("kbh-a", "hovedstaden", "desk")
-	f.add("kbh-b", "hovedstaden", "tours")
-	f.add("kbh-a", "hovedstaden", "tours")
-	f.putConfig(1, []route{{"tour-sync", "tours.example", "/sync/", "safe", "tours", 10}, {"desk", "desk.example", "/desk/", "safe", "desk", 10}})
+	front := f.add("kbh-a", "hovedstaden", "rental-desk")
+	f.add("kbh-b", "hovedstaden", "tour-catalog")
+	f.add("kbh-a", "hovedstaden", "tour-catalog")
+	f.putConfig(1, []route{{"tour-sync", "tours.example", "/sync/", "safe", "tour-catalog", 10}, {"rental-issue", "desk.example", "/desk/", "unsafe", "rental-desk", 10}})
 	type arrival struct {
 		at    time.Time
 		ended time.Time
@@ -35,7 +37,7 @@
 	}
 	var mu sync.Mutex
 	arrivals := map[string]arrival{}
-	behave := behaviour{slots: 18, handle: func(u *upstream, c *call, gone <-chan struct{}) []byte {
+	behave := behaviour{slots: 9, handle: func(u *upstream, c *call, gone <-chan struct{}) []byte {
 		rec.add("upstream %s: runs %s", u.id, c.id)
 		mu.Lock()
 		arrivals[c.id] = arrival{at: time.Now()}
@@ -60,7 +62,15 @@
 	if err := f.start(func(*machine) behaviour { return behave }); err != nil {
 		return notRun, err
 	}
-	time.Sleep(4 * time.Second) // contactS
+	time.Sleep(4500 * time.Millisecond) // contactS and a margin
+	var warm sync.WaitGroup
+	for i := range leavers {
+		warm.Go(func() { // a node uses all slots of a target only once that has answered
+			status, err := request(front.outbound(), fmt.Sprintf("GET /sync/first HTTP/1.1\r\nHost: tours.example\r\nRequest-Id: first%02d\r\nTimeout-Ms: 2000\r\n\r\n", i), nil)
+			rec.add("client %d: first request gets %d, %v", i, status, err)
+		})
+	}
+	warm.Wait()
 	closed := map[string]time.Time{}
 	var wait sync.WaitGroup
 	for i := range leavers {
@@ -73,15 +83,15 @@
 			began := time.Now()
 			send := func(n int) {
 				id := fmt.Sprintf("c%02d%02d%012x", i, n, began.UnixNano()&0xffffffffffff)
-				_, _ = fmt.Fprintf(c, "GET /sync/%d HTTP/1.1\r\nHost: tours.example\r\nRequest-Id: %s\r\nTimeout-Ms: 9000\r\n\r\n", n, id)
+				_, _ = fmt.Fprintf(c, "GET /sync/%d HTTP/1.1\r\nHost: tours.example\r\nRequest-Id: %s\r\nTimeout-Ms: 2000\r\n\r\n", n, id)
 				rec.add("client %d: sends %s", i, id)
 				mu.Lock()
 				closed[id] = time.Time{}
 				mu.Unlock()
 			}
-			for n := range 3 {
+			for n := range ahead {
 				send(n)
-				time.Sleep(100 * time.Millisecond)
+				time.Sleep(50 * time.Millisecond)
 			}
 			if trouble {
 				time.Sleep(time.Until(began.Add(leaveTime)))
@@ -96,7 +106,7 @@
 				return
 			}
 			br := bufio.NewReader(c)
-			for range 3 {
+			for range ahead {
 				resp, err := http.ReadResponse(br, nil)
 				if err != nil {
 					rec.add("client %d: %v", i, err)
@@ -108,7 +118,7 @@
 		})
 	}
 	wait.Wait()
-	time.Sleep(9 * time.Second)
+	time.Sleep(ahead*workTime + time.Second)
 	mu.Lock()
 	defer mu.Unlock()
 	late, atWork, wouldLast := 0, 0, 0
