--- a/review/_standin-3/explore.go
+++ b/review/_standin-3/explore.go
@@ -81,6 +81,16 @@
 				b := make([]byte, 100)
 				_, _ = c.Read(b)
 				time.Sleep(time.Duration(rand.IntN(3000)) * time.Millisecond)
+			case "plainfields":
+				var b strings.Builder
+				for j := 0; b.Len() < 15800; j++ {
+					fmt.Fprintf(&b, "%c%c%c:\r\n", 'a'+j%26, 'a'+j/26%26, 'a'+j/676%26)
+				}
+				_, _ = io.WriteString(c, fmt.Sprintf("POST /orders/2 HTTP/1.1\r\nHost: orders.example\r\nRequest-Id: %sb\r\nTimeout-Ms: 8000\r\nContent-Length: 100\r\n", id)+b.String()+"\r\n")
+				time.Sleep(time.Duration(rand.IntN(6000)) * time.Millisecond)
+			case "idle":
+				_, _ = io.WriteString(c, fmt.Sprintf("POST /orders/2 HTTP/1.1\r\nHost: orders.example\r\nRequest-Id: %sb\r\nTimeout-Ms: 8000\r\nContent-Length: 100\r\n\r\n", id))
+				time.Sleep(time.Duration(rand.IntN(6000)) * time.Millisecond)
 			case "ahead":
 				one := fmt.Sprintf("GET /drafts/big HTTP/1.1\r\nHost: drafts.example\r\nRequest-Id: %s\r\nTimeout-Ms: 8000\r\n\r\n", id)
 				_, _ = io.WriteString(c, strings.Repeat(one, 100))
@@ -104,8 +114,12 @@
 	for i := range clients {
 		wait.Go(func() { client(i) })
 	}
-	for time.Now().Before(stop) {
+	for n := 0; time.Now().Before(stop); n++ {
 		time.Sleep(time.Second)
+		if n == 8 {
+			status, err := request(front.outbound(), fmt.Sprintf("POST /orders/upload HTTP/1.1\r\nHost: orders.example\r\nRequest-Id: upload1\r\nTimeout-Ms: 8000\r\nContent-Length: %d\r\n\r\n", uploadBytes), make([]byte, uploadBytes))
+			fmt.Println("upload", status, err)
+		}
 		fmt.Printf("%s: resident %d peak %d; others", kind, front.memory("VmRSS"), front.memory("VmHWM"))
 		for _, m := range f.machines[1:] {
 			fmt.Printf(" %d/%d", m.memory("VmRSS"), m.memory("VmHWM"))
--- a/review/_standin-3/fleet.go
+++ b/review/_standin-3/fleet.go
@@ -63,11 +63,12 @@
 
 // fleet is a small deployment on loopback addresses.
 type fleet struct {
-	rec      *record
-	dir      string
-	store    *standin.Store
-	machines []*machine
-	memoryMB int
+	rec          *record
+	dir          string
+	store        *standin.Store
+	machines     []*machine
+	memoryMB     int
+	storeAddress string // in the settings
 }
 
 // newFleet starts the store; machines are added before start.
@@ -76,7 +77,8 @@
 	if err != nil {
 		return nil, err
 	}
-	return &fleet{rec: rec, dir: dir, store: standin.NewStore(), memoryMB: 284}, nil
+	store := standin.NewStore()
+	return &fleet{rec: rec, dir: dir, store: store, storeAddress: store.Address(), memoryMB: 284}, nil
 }
 
 // freeIP returns a loopback address on which the ports of a machine are free.
@@ -84,7 +86,7 @@
 	for {
 		ip := fmt.Sprintf("127.%d.%d.%d", 2+rand.IntN(250), rand.IntN(250), 1+rand.IntN(250))
 		free := true
-		for _, p := range []int{8620, 8624, 8625, 8628, 8629, 7601} {
+		for _, p := range []int{8620, 8624, 8625, 8627, 8628, 8629, 7601} {
 			l, err := net.Listen("tcp4", fmt.Sprintf("%s:%d", ip, p))
 			if err != nil {
 				free = false
@@ -137,7 +139,7 @@
 		"internalPorts=7600,7615", "seeds=", "bootstrap=true", "toleranceMember=false", "limits.cpuShare=0.16", "limits.cores=1", fmt.Sprintf("limits.memoryMb=%d", f.memoryMB), "limits.maxFds=4100",
 		"limits.linkMbps=140.0", "limits.diskMb=0", "discovery=static", "entry=static", "heartbeatS=0.87", "contracts=base,drain,config,cost,retry,recover,platform",
 		"faultTolerance.machines=2", "faultTolerance.zones=0", "faultTolerance.regions=0", "bounds="+bounds, "appAddr="+m.app(), "service="+m.service,
-		"platform.address="+f.store.Address(), "platform.form=kv", "platform.writesPerS=1200", "platform.readsPerS=6000", "platform.historyS=20", "platform.valueBytes=1048576", "platform.ttlMinS=1")
+		"platform.address="+f.storeAddress, "platform.form=kv", "platform.writesPerS=1200", "platform.readsPerS=6000", "platform.historyS=20", "platform.valueBytes=1048576", "platform.ttlMinS=1")
 	m.settings = filepath.Join(f.dir, m.name+".conf")
 	if err := os.WriteFile(m.settings, []byte(strings.Join(lines, "\n")+"\n"), 0o600); err != nil {
 		return err
