Review case 11: bodies that a node has not read exceed the memory of its machine

From the entries of TestDoorSocketMemory: connections that the process has not accepted keep the kernel's own receive buffer and are counted nowhere. 1,600 callers with bodies one byte short: 267 to 309 MiB resident and received unread, on a VM of 184 MB.

--- a/review/_standin-3/main.go
+++ b/review/_standin-3/main.go
@@ -17,7 +17,7 @@
 )
 
 func main() {
-	cases := map[string]func(rec *record, trouble bool) (int, error){"pipelined-leave": pipelinedLeave, "long-queries": longQueries, "answers-evicted": answersEvicted, "answer-cut": answerCut, "store-moved": storeMoved}
+	cases := map[string]func(rec *record, trouble bool) (int, error){"pipelined-leave": pipelinedLeave, "long-queries": longQueries, "answers-evicted": answersEvicted, "answer-cut": answerCut, "unread-bodies": unreadBodies}
 	if len(os.Args) != 3 || cases[os.Args[1]] == nil {
 		fmt.Fprintln(os.Stderr, "usage: review-3 CASE RECORD")
 		os.Exit(notRun)
