--- a/review/_standin-3/cut.go
+++ b/review/_standin-3/cut.go
@@ -67,6 +67,7 @@
 				return
 			}
 			defer c.Close()
+			smallWindow(c)
 			br := bufio.NewReader(slowLink{c})
 			sent := map[int]time.Time{}
 			send := func(n int) {
--- a/review/_standin-3/evicted.go
+++ b/review/_standin-3/evicted.go
@@ -96,6 +96,7 @@
 					continue
 				}
 				_ = c.SetDeadline(time.Now().Add(8 * time.Second))
+				smallWindow(c)
 				br := bufio.NewReader(ordinaryLink{c})
 				for k, path := range []string{"poster", "video"} { // the second on the kept connection
 					id := fmt.Sprintf("o%02d-%04d-%s", i, n, path)
--- a/review/_standin-3/fleet.go
+++ b/review/_standin-3/fleet.go
@@ -417,3 +417,10 @@
 	u.mu.Unlock()
 	return fmt.Appendf(nil, "HTTP/1.1 200 OK\r\nRequest-Id: %s\r\nResponse-Signature: %s.%s\r\nServer-Load: %s\r\nContent-Length: %d\r\n\r\n%s", c.id, u.id, c.id, load, len(body), body)
 }
+
+// smallWindow gives a client's connection the receive buffer of a small window, whatever the machine's own default is.
+func smallWindow(c net.Conn) {
+	if tc, ok := c.(*net.TCPConn); ok {
+		_ = tc.SetReadBuffer(32 << 10) // the kernel doubles it
+	}
+}
