listener: requests of clients that have sent ahead and left end

Cause: net/http notices that a client leaves by a pending read of one byte, which the first byte of a further request completes. Nothing watched the connection from then on. A further request was also served although its context had been cancelled before.

Why it works: the read that watches a connection goes on to wait for its end (POLLRDHUP, which is reported in front of unread data) and then returns an error, with which the server cancels the present and all further requests; one whose context is cancelled is not dispatched.

--- a/exchange/conn.go
+++ b/exchange/conn.go
@@ -136,20 +136,6 @@
 	return n, err
 }
 
-// PeerClosed reports whether the peer has closed or reset a connection on which no data is pending.
-func PeerClosed(nc net.Conn) bool {
-	sc, ok := nc.(syscall.Conn)
-	if !ok {
-		return false
-	}
-	raw, err := sc.SyscallConn()
-	if err != nil {
-		return true
-	}
-	n, err := peek(raw)
-	return n == 0 && err != syscall.EAGAIN
-}
-
 // Do sends a request and reads the response head. The body has to be read or closed before the next exchange. Cancelling ctx
 // aborts the exchange and closes the connection.
 func (c *Conn) Do(ctx context.Context, r *Request) (*Response, error) {
--- a/listener/conn.go
+++ b/listener/conn.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"context"
+	"io"
 	"net"
 	"net/http"
 	"os"
@@ -14,6 +15,7 @@
 	"golang.org/x/sys/unix"
 
 	"github.com/cassialead/cassialead/door"
+	"github.com/cassialead/cassialead/exchange"
 )
 
 const (
@@ -44,6 +46,7 @@
 	if c.evicted.Load() {
 		return 0, os.ErrDeadlineExceeded
 	}
+	watching := len(p) == watchSize && c.size < MaxHeaderBytes
 	n, err := c.Conn.Read(p)
 	if n == 0 {
 		return n, err
@@ -52,9 +55,29 @@
 	if c.inHead.Load() && !c.takeHead(p[:n]) {
 		return 0, os.ErrDeadlineExceeded
 	}
+	if watching && err == nil {
+		err = c.watch()
+	}
 	return n, err
 }
 
+// watchSize is the number of bytes that the server reads while a request runs, to notice that the client leaves. It stops watching with
+// the first byte of a further request. Other reads are of the size of its buffer, unless the limit of a head leaves a byte.
+const watchSize = 1
+
+// watch waits until the client has left or the server ends the read with a deadline. It returns an error then, with which the server
+// cancels the present and all further requests, or nil if the connection can't be watched.
+func (c *Conn) watch() error {
+	switch err := exchange.WaitPeerClosed(c.Conn); {
+	case err == nil:
+		return io.EOF
+	case errors.Is(err, os.ErrDeadlineExceeded):
+		return err
+	default:
+		return nil // the next read fails if the connection does
+	}
+}
+
 // takeHead adds bytes of a head to its memory.
 func (c *Conn) takeHead(p []byte) bool {
 	before := door.HeadCost(c.size, c.lines)
@@ -215,6 +238,18 @@
 	}
 }
 
+// dropAbandoned returns a handler that closes connections with further requests of clients that have left during an earlier one.
+func dropAbandoned(h http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if r.Context().Err() != nil {
+			c := FromContext(r.Context())
+			c.guard.countClosed("cassialead_requests_abandoned_total", "request not served, its client has left", "from", c.RemoteAddr())
+			panic(http.ErrAbortHandler)
+		}
+		h.ServeHTTP(w, r)
+	})
+}
+
 // limitUnread returns a handler that bounds how long the bytes of a body may take that h leaves unread: the server skips up to
 // 256 KiB of them after the answer, without a deadline of its own. Unread is the time for a body from the beginning of h, or zero if h
 // sets a deadline itself.
--- a/listener/guard.go
+++ b/listener/guard.go
@@ -66,7 +66,7 @@
 func (g *Guard) Apply(server *http.Server, l net.Listener, s Server) net.Listener {
 	table := door.NewSockets(s.Connections, g.deps.Now)
 	g.deps.Metrics.GetOrCreateGauge(`cassialead_connections{listener="`+s.Name+`"}`, func() float64 { return float64(table.Open()) })
-	server.Handler, server.ConnState = limitUnread(s.Handler, s.Unread), stateChanged
+	server.Handler, server.ConnState = limitUnread(dropAbandoned(s.Handler), s.Unread), stateChanged
 	server.MaxHeaderBytes, server.ReadHeaderTimeout, server.IdleTimeout = MaxHeaderBytes, headerTimeout, IdleTimeout
 	server.ErrorLog = slog.NewLogLogger(g.deps.Log.Handler(), slog.LevelDebug)
 	server.ConnContext = func(ctx context.Context, c net.Conn) context.Context {
