quota: totals state how many nodes they count

Cause: at 2.7 to 3.1 s 85 of 89 nodes leave and exclude heads that have lost the store for 2.2 s. The next node of each data centre takes itself for a head and reports to the head of the other data centre, which still has it below the excluded one and drops its reports, each of 21 to 23 nodes. Four heads a region then send totals of a part of it under its name, and the last one counts. Nothing says that figures are missing, so shares grow (to 2.0 and more added up) until the tenant turns hot at 8.2 s.

Ruled out: the connections that are reset at 6.88 s (figures are missing from 2.5 s on), and leaves whose new parents drop their reports (five of 64).

Why it works: a report states how many nodes it counts, and is counted by the node that its sender follows, whatever the tree of that one says. A child that moves tells its earlier parent. Of several totals of a region the one that counts the listed nodes best is used until it is 2 s old. Where figures still leave out or repeat too many nodes, no share changes and each node keeps to its own part of a window.

--- a/agent/cluster_test.go
+++ b/agent/cluster_test.go
@@ -90,6 +90,8 @@
 	target *fakeTarget
 	stop   context.CancelFunc
 	done   chan struct{}
+	set    *metrics.Set
+	agent  *agent.Agent
 }
 
 // ports are assigned below the kernel's ephemeral range, so that no outgoing connection occupies one between the check in
@@ -177,7 +179,7 @@
 	st := platform.NewStoreClient(n.cfg.StoreAddress, set)
 	st.SetTransport(nodeNameTransport{string(n.cfg.VM)})
 	a := agent.New(n.cfg, agent.Deps{Store: st, Log: slog.New(slog.NewTextHandler(GinkgoWriter, nil)).With("vm", n.cfg.VM), Metrics: set, Now: time.Now})
-	n.stop, n.done = cancel, make(chan struct{})
+	n.stop, n.done, n.set, n.agent = cancel, make(chan struct{}), set, a
 	go func() {
 		defer GinkgoRecover()
 		defer close(n.done)
--- a/agent/quota.go
+++ b/agent/quota.go
@@ -7,6 +7,8 @@
 	"sync"
 	"time"
 
+	"github.com/cockroachdb/errors"
+
 	"github.com/cassialead/cassialead/dispatch"
 	"github.com/cassialead/cassialead/feed"
 	"github.com/cassialead/cassialead/fleet"
@@ -21,7 +23,7 @@
 	demandInterval  = 150 * time.Millisecond // between two reports on one link of the tree; six of them pass between the farthest nodes
 	tenantInterval  = 500 * time.Microsecond // added to it for each tenant reported, which bounds the bytes per second
 	refreshInterval = 250 * time.Millisecond // between two computations of the shares
-	childInterval   = time.Second            // between two checks whether the tree still has a reporting node below this one
+	exchangePause   = time.Second            // after an exchange with another region that has failed
 	maxDemandBytes  = 1 << 20                // bytes of a message between regions
 	maxRegions      = 64                     // in one message
 	noReportLimit   = 24 * time.Hour         // children without limited tenants send no report; a broken connection is noticed when an update is written
@@ -32,6 +34,7 @@
 	limiter *quota.Limiter
 	mu      sync.Mutex // guards sums
 	sums    quota.Sums
+	partial bool // the figures of the other nodes at the last refresh; used by refreshShares only
 }
 
 // limited reports whether the configuration in force limits any tenant.
@@ -61,7 +64,7 @@
 // ownDemand returns the demand at this node.
 func (a *Agent) ownDemand() quota.Report {
 	now := a.deps.Now()
-	return quota.Report{Demand: a.quotas.limiter.Demand(now), Settled: a.quotas.limiter.Settled(now)}
+	return quota.Report{Demand: a.quotas.limiter.Demand(now), Settled: a.quotas.limiter.Settled(now), Nodes: 1}
 }
 
 // demandBelow returns the demand at this node and the nodes below it, without one of them.
@@ -103,15 +106,34 @@
 			continue
 		}
 		a.demandTotals()
-		now, own := a.deps.Now(), a.ownDemand()
+		now, own, listed := a.deps.Now(), a.ownDemand(), a.population()
 		a.quotas.mu.Lock()
+		a.quotas.sums.SetListed(listed)
 		others := a.quotas.sums.Others(now, a.cfg.Load().Region, own.Demand)
 		a.quotas.mu.Unlock()
-		others.Nodes = len(a.members())
+		a.logCoverage(others)
 		a.quotas.limiter.Refresh(now, a.dispatcher.Plan().Tenants, others)
 	}
 }
 
+// population returns the number of members in each region.
+func (a *Agent) population() quota.Population {
+	p := quota.Population{}
+	for _, m := range a.members() {
+		p[m.Region]++
+	}
+	return p
+}
+
+// logCoverage logs when the figures of the other nodes become partial or complete.
+func (a *Agent) logCoverage(o quota.Others) {
+	a.deps.Metrics.GetOrCreateGauge("cassialead_demand_nodes", nil).Set(float64(o.Counted))
+	if o.Partial != a.quotas.partial {
+		a.quotas.partial = o.Partial
+		a.deps.Log.Info("demand of other nodes", "partial", o.Partial, "counted", o.Counted, "listed", o.Nodes)
+	}
+}
+
 // reportInterval returns the time until the next report on a link.
 func reportInterval(tenants int) time.Duration {
 	return demandInterval + time.Duration(tenants)*tenantInterval
@@ -145,45 +167,37 @@
 	return conn.SendReport(report)
 }
 
-// receiveReports records the demand that a child, or the other head, reports until its connection ends, and closes that. Reports of a
-// node that the tree does not have below this one are dropped: where nodes disagree on the tree they would be counted twice.
-func (a *Agent) receiveReports(conn *feed.Conn, child fleet.NodeID) {
+// receiveReports records the demand that a child, or the other head, reports until its connection ends, and closes that. A node reports to the
+// one that it follows, which counts it whatever its own tree says: what a total counts twice or leaves out shows in its number of nodes.
+func (a *Agent) receiveReports(conn *feed.Conn, child member.Record) {
 	defer conn.Close()
-	defer func() {
-		a.quotas.mu.Lock()
-		defer a.quotas.mu.Unlock()
-		a.quotas.sums.Part(a.deps.Now(), child)
-	}()
-	var checkedAt time.Time
-	below := false
 	for {
 		r, err := conn.ReceiveReport(noReportLimit)
 		if err != nil {
+			a.endReports(child.Node, errors.Is(err, feed.ErrLeft))
 			return
 		}
-		now := a.deps.Now()
-		if now.Sub(checkedAt) >= childInterval {
-			below, checkedAt = a.isBelow(child), now
-		}
-		accepted := below && a.acceptDemand(r, string(child))
+		region := a.cfg.Load().Region
+		accepted := child.Region == region && a.acceptDemand(r, string(child.Node))
 		a.quotas.mu.Lock()
-		if accepted {
-			a.quotas.sums.SetChild(now, child, r)
+		if accepted && !a.quotas.sums.Circular(region, r) {
+			a.quotas.sums.SetChild(a.deps.Now(), child.Node, r)
 		} else {
-			a.quotas.sums.Drop(child)
+			a.quotas.sums.Drop(child.Node)
 		}
 		a.quotas.mu.Unlock()
 	}
 }
 
-// isBelow reports whether a node is a child of this one in the tree, or the other head.
-func (a *Agent) isBelow(n fleet.NodeID) bool {
-	self := a.cfg.Load().VM
-	now := a.deps.Now()
-	a.mu.Lock()
-	p := member.Locate(a.view.Members(), n, func(n fleet.NodeID) bool { return !now.Before(a.excludedUntil[n]) })
-	a.mu.Unlock()
-	return p.Parent != nil && p.Parent.Node == self || p.Sibling != nil && p.Sibling.Node == self
+// endReports forgets a child that follows another node, and keeps the figures of one that is lost for a short time.
+func (a *Agent) endReports(child fleet.NodeID, left bool) {
+	a.quotas.mu.Lock()
+	defer a.quotas.mu.Unlock()
+	if left {
+		a.quotas.sums.Drop(child)
+	} else {
+		a.quotas.sums.Part(a.deps.Now(), child)
+	}
 }
 
 // exchangeDemand exchanges totals with the other regions until ctx ends: the first head of each region asks the first head of the region
@@ -204,7 +218,7 @@
 		var others []quota.Total
 		if err := a.requestPeer(ctx, http.MethodPost, to.Address, demandPath, totals, &others); err != nil {
 			a.deps.Log.Info("demand not exchanged", "region", to.Region, "node", to.Node, "error", err)
-			sleep(ctx, childInterval)
+			sleep(ctx, exchangePause)
 			continue
 		}
 		a.receiveTotals(others, string(to.Node))
--- a/agent/tree.go
+++ b/agent/tree.go
@@ -81,9 +81,13 @@
 	defer stop()
 	err = a.receiveFromParent(ctx, conn, parent)
 	switch {
-	case ctx.Err() != nil, err == nil:
+	case ctx.Err() != nil:
+		return true
+	case err == nil:
+		conn.Leave()
 		return true
 	case errors.Is(err, errParentDisconnected):
+		conn.Leave()
 		a.exclude(parent.Node, disconnectedExclusion)
 		a.deps.Log.Info("switching parent", "parent", parent.Node, "error", err)
 	default:
@@ -183,6 +187,7 @@
 		a.siblingStoreFailing.Store(update.StoreFailing)
 		a.recordParentContact(update, a.deps.Now())
 		if current := a.treePosition().Sibling; current == nil || current.Node != sibling.Node {
+			conn.Leave()
 			return nil
 		}
 	}
@@ -256,7 +261,7 @@
 	a.deps.Log.Info("child connected", "child", hello.Child.Node, "plan", hello.PlanVersion)
 	plan, revision, rollouts, full := hello.PlanVersion, uint64(0), uint64(0), true
 	var planSent, totalsDue time.Time
-	go a.receiveReports(conn, hello.Child.Node)
+	go a.receiveReports(conn, hello.Child)
 	for !a.stopping.Load() {
 		due := a.deps.Now().Sub(planSent) >= planInterval
 		update, changed := a.updateSince(&revision, &rollouts, &plan, full, due)
--- a/feed/conn.go
+++ b/feed/conn.go
@@ -89,13 +89,26 @@
 // SendReport sends the demand at the child and the nodes behind it to the parent.
 func (c *Conn) SendReport(r quota.Report) error { return c.send(r) }
 
-// ReceiveReport waits until the timeout for a report of the child.
+// ErrLeft is returned if the other end has ended the connection to follow another node.
+var ErrLeft = errors.New("other end follows another node")
+
+// ReceiveReport waits until the timeout for a report of the child; it returns ErrLeft if the child has left.
 func (c *Conn) ReceiveReport(timeout time.Duration) (quota.Report, error) {
 	var r quota.Report
 	err := c.receive(&r, timeout)
+	if ce := (*websocket.CloseError)(nil); errors.As(err, &ce) && ce.Code == websocket.CloseNormalClosure {
+		err = ErrLeft
+	}
 	return r, err
 }
 
+// Leave tells the parent that the child follows another node, and closes the connection. A parent that does not hear of it takes the child
+// for lost.
+func (c *Conn) Leave() {
+	_ = c.ws.WriteControl(websocket.CloseMessage, websocket.FormatCloseMessage(websocket.CloseNormalClosure, ""), time.Now().Add(writeTimeout))
+	c.Close()
+}
+
 // Receive waits until the timeout for an update from the parent; it returns ErrUnexpectedNode if another node sent it.
 func (c *Conn) Receive(timeout time.Duration) (Update, error) {
 	var u Update
--- a/quota/limiter.go
+++ b/quota/limiter.go
@@ -24,7 +24,7 @@
 	newcomerRatio = 3                      // between the share that a node's demand calls for and the one it has, from which the latter may double per second
 	shareDecline  = 0.3                    // a share declines by this part of itself per second at most
 	fleetPart     = 0.66                   // of what a window allows, at which all nodes together are held
-	stalePart     = 0.85                   // of fleetPart while reports are old: nodes that are cut off can't see that demand rises on the other side as well
+	stalePart     = 0.85                   // of fleetPart while reports are old or leave out nodes: nodes that are cut off can't see that demand rises on the other side as well
 	nodePart      = 0.7                    // of a node's part of a window, which it may use whatever the other nodes do
 	usualPart     = 0.47                   // of what a window allows, that a tenant usually asks for
 	usualNoise    = 1.7                    // standard deviations of its usual requests that a node admits where its part of a window is small
@@ -92,7 +92,7 @@
 	part := s.share * l.windowLimit(a)
 	usual := usualPart * part
 	n := max(nodePart*part, usual+usualNoise*math.Sqrt(usual)+usualSpare)
-	if l.others.Stale {
+	if l.others.doubtful() {
 		n = max(nodePart*part, usual+math.Sqrt(usual))
 	}
 	if age := now.Sub(l.startedAt); age < l.rules.Window {
@@ -109,7 +109,7 @@
 	admitted := o.Admitted + float64(s.used())
 	demand := o.Recent + s.recent.now(now, recentPeriod)
 	part := fleetPart
-	if l.others.Stale {
+	if l.others.doubtful() {
 		part *= stalePart
 	}
 	rate := admitted/max(l.rules.Window.Seconds(), 1) + (part*l.windowLimit(a)-admitted)/horizon.Seconds()
@@ -290,19 +290,25 @@
 	Demand Demand
 	Known  bool // a neighbour has reported that is not young itself
 	Stale  bool // a part of it is old, since its nodes are cut off
-	Nodes  int  // of the fleet, this one included
+	// Partial means that the figures leave out too many of the listed nodes, or count too many of them twice, to take shares from them.
+	Partial bool
+	Counted int // nodes that the figures count, this one included
+	Nodes   int // of the fleet, this one included
 }
 
+// doubtful reports whether the figures may miss demand, so that a node has to keep to what its own part allows.
+func (o Others) doubtful() bool { return o.Stale || o.Partial }
+
 // Refresh sets the node's shares from the figures of all other nodes. It is called at regular intervals, and forgets tenants without
-// demand. While the figures are stale no share grows.
+// demand. While the figures are stale no share grows, while they are partial none changes.
 func (l *Limiter) Refresh(now time.Time, accounts *tenant.Directory, o Others) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	if l.startedAt.IsZero() {
 		l.startedAt = now
 	}
+	o.Known = o.Known && !o.Partial || l.others.Known
 	first := o.Known && !l.others.Known
-	o.Known = o.Known || l.others.Known
 	elapsed := max(now.Sub(l.refreshAt), 0).Seconds()
 	l.others, l.refreshAt = o, now
 	for name, s := range l.local {
@@ -317,6 +323,8 @@
 		}
 		share := l.share(s, name)
 		switch {
+		case o.Partial:
+			continue
 		case first, now.Sub(l.startedAt) < l.rules.Window:
 		case o.Stale:
 			share = min(share, s.share)
--- a/quota/limiter_test.go
+++ b/quota/limiter_test.go
@@ -26,6 +26,7 @@
 	sent     [][]quota.Demand // by time, demand of each node
 	settled  []bool           // by time
 	cut      map[int]quota.Demand
+	tree     *tree // along which reports pass; nil if all nodes know of all others
 	admitted []int // by step, all nodes together
 	wanted   []int
 	retries  []retry
@@ -69,6 +70,13 @@
 	}
 	f.sent, f.settled = append(f.sent, sent), append(f.settled, f.nodes[0].Settled(f.now))
 	late := len(f.sent) - 1 - int(reportDelay/refreshStep)
+	if f.tree != nil {
+		f.tree.report(f)
+		for i, n := range f.nodes {
+			n.Refresh(f.now, f.accounts, f.tree.others(f, i))
+		}
+		return
+	}
 	for i, n := range f.nodes {
 		others, known := quota.Demand{}, late >= 0 && f.settled[late]
 		for j := 0; late >= 0 && j < len(f.nodes); j++ {
--- a/quota/sums_test.go
+++ b/quota/sums_test.go
@@ -1,6 +1,7 @@
 package quota_test
 
 import (
+	"math"
 	"testing"
 	"time"
 
@@ -73,3 +74,65 @@
 		t.Error("an impossible rate was accepted")
 	}
 }
+
+// Several nodes that each took themselves for a region's head added up a part of it, and the part that came last counted for the whole.
+func TestOthersRelyOnTheTotalThatCountsTheListedNodes(t *testing.T) {
+	now := time.Unix(1000, 0)
+	total := func(slow float64, nodes int, age time.Duration) quota.Total {
+		r := report(slow)
+		r.Nodes = nodes
+		return quota.Total{Region: "r1", Report: r, Age: age}
+	}
+	for name, c := range map[string]struct {
+		totals  []quota.Total // each comes a second after the one before
+		want    float64
+		partial bool
+	}{
+		"all nodes":                            {[]quota.Total{total(20, 10, 0)}, 20, false},
+		"few are missing":                      {[]quota.Total{total(18, 9, 0)}, 20, false},
+		"few count twice":                      {[]quota.Total{total(24, 12, 0)}, 20, false},
+		"half are missing":                     {[]quota.Total{total(10, 5, 0)}, 12.5, true},
+		"half count twice":                     {[]quota.Total{total(30, 15, 0)}, 20, true},
+		"node of an earlier version":           {[]quota.Total{total(20, 0, 0)}, 25, true},
+		"a part after the whole":               {[]quota.Total{total(20, 10, 0), total(10, 5, 0)}, 20, false},
+		"a whole after a part":                 {[]quota.Total{total(10, 5, 0), total(20, 10, 500*time.Millisecond)}, 20, false},
+		"twice after a part":                   {[]quota.Total{total(10, 5, 0), total(40, 20, 0)}, 10 * 1.25, true},
+		"a part after an old whole":            {[]quota.Total{total(20, 10, 1500*time.Millisecond), total(10, 5, 0)}, 12.5, true},
+		"a whole that comes back with its age": {[]quota.Total{total(20, 10, 0), total(20, 10, 990*time.Millisecond), total(20, 10, 1980*time.Millisecond), total(10, 5, 0)}, 12.5, true},
+		"no total":                             {nil, 0, true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			var s quota.Sums
+			s.SetListed(quota.Population{"r1": 10})
+			at := now
+			for i, total := range c.totals {
+				at = now.Add(time.Duration(i) * time.Second)
+				s.SetTotal(at, total)
+			}
+			if o := s.Others(at, "r1", nil); math.Abs(o.Demand["a"].Slow-c.want) > 0.001 || o.Partial != c.partial {
+				t.Errorf("got %+v", o)
+			}
+		})
+	}
+}
+
+// Reports that came back to their origin were added to themselves and grew without bound.
+func TestReportsInACircleAreRecognised(t *testing.T) {
+	for name, c := range map[string]struct {
+		listed, counted int
+		want            bool
+	}{
+		"each node once":         {10, 10, false},
+		"all nodes twice":        {10, 20, false},
+		"more than twice":        {10, 21, true},
+		"before any node listed": {0, 21, false},
+	} {
+		t.Run(name, func(t *testing.T) {
+			var s quota.Sums
+			s.SetListed(quota.Population{"r1": c.listed})
+			if got := s.Circular("r1", quota.Report{Nodes: c.counted}); got != c.want {
+				t.Errorf("got %v", got)
+			}
+		})
+	}
+}
