dispatch: records of requests that were not served have a bounded size

Cause: a request that is not served was recorded with its whole URI until its deadline, up to 8,192 URIs.

Why it works: the record's key is a hash of method, host, URI and size, and the bound counts submissions, also those of one URI.

--- a/dispatch/dispatch.go
+++ b/dispatch/dispatch.go
@@ -72,7 +72,7 @@
 
 // New returns a dispatcher without a configuration.
 func New(deps Deps) *Dispatcher {
-	return &Dispatcher{deps: deps, meters: newMeters(deps.Metrics)}
+	return &Dispatcher{deps: deps, meters: newMeters(deps.Metrics), resubmissions: newResubmissions()}
 }
 
 // SetPlan puts a configuration into force if its version is newer than the current one, and reports whether it did.
--- a/dispatch/resubmission.go
+++ b/dispatch/resubmission.go
@@ -1,6 +1,7 @@
 package dispatch
 
 import (
+	"hash/maphash"
 	"sync"
 	"time"
 )
@@ -8,28 +9,38 @@
 const (
 	deadlineTolerance = 20 * time.Millisecond // apparent shift of a caller's deadline between two submissions of a request
 	sweepInterval     = time.Second           // between two removals of requests whose deadline has passed
-	maxUnserved       = 8192                  // recorded requests; beyond that, resubmissions count as first submissions
+	maxUnserved       = 8192                  // recorded submissions; beyond that, resubmissions count as first submissions
 )
 
 // resubmissions recognises requests that a caller submits again after they were not served. A caller keeps its deadline across
 // submissions: an equal request with the same deadline is assumed to come from the same caller, and its soft deadline counts from the
 // first submission.
 type resubmissions struct {
+	seed     maphash.Seed
 	mu       sync.Mutex
 	unserved map[requestKey][]submission
+	recorded int // submissions in unserved
 	sweptAt  time.Time
 }
 
-type requestKey struct {
-	method, host, uri string
-	bodyBytes         int
+func newResubmissions() resubmissions {
+	return resubmissions{seed: maphash.MakeSeed(), unserved: map[requestKey][]submission{}}
 }
 
+// requestKey is a hash of a request's method, host, URI and size: a record must not hold the bytes of its request. Two requests with the same
+// hash are taken for one only if their deadlines agree as well.
+type requestKey uint64
+
 type submission struct {
 	receivedAt, deadline time.Time
 }
 
-func (in *Request) key() requestKey { return requestKey{in.Method, in.Host, in.URI, len(in.Body)} }
+func (r *resubmissions) key(in *Request) requestKey {
+	return requestKey(maphash.Comparable(r.seed, struct {
+		method, host, uri string
+		bodyBytes         int
+	}{in.Method, in.Host, in.URI, len(in.Body)}))
+}
 
 // record stores a request that was first received at a time and has not been served.
 func (r *resubmissions) record(in *Request, firstReceivedAt, now time.Time) {
@@ -38,14 +49,12 @@
 	}
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if r.unserved == nil {
-		r.unserved = map[requestKey][]submission{}
-	}
 	r.sweep(now)
-	if len(r.unserved) >= maxUnserved {
+	if r.recorded >= maxUnserved {
 		return
 	}
-	k := in.key()
+	r.recorded++
+	k := r.key(in)
 	r.unserved[k] = append(r.unserved[k], submission{firstReceivedAt, in.ReceivedAt.Add(in.Timeout)})
 }
 
@@ -58,10 +67,11 @@
 	deadline := in.ReceivedAt.Add(in.Timeout)
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	k := in.key()
+	k := r.key(in)
 	earlier := r.unserved[k]
 	for i, s := range earlier {
 		if s.deadline.Sub(deadline).Abs() <= deadlineTolerance {
+			r.recorded--
 			earlier[i] = earlier[len(earlier)-1]
 			if r.unserved[k] = earlier[:len(earlier)-1]; len(earlier) == 1 {
 				delete(r.unserved, k)
@@ -85,6 +95,7 @@
 				kept = append(kept, s)
 			}
 		}
+		r.recorded -= len(recorded) - len(kept)
 		if r.unserved[k] = kept; len(kept) == 0 {
 			delete(r.unserved, k)
 		}
--- a/dispatch/resubmission_test.go
+++ b/dispatch/resubmission_test.go
@@ -4,6 +4,8 @@
 	"context"
 	"fmt"
 	"net/http"
+	"runtime"
+	"strings"
 	"time"
 
 	. "github.com/onsi/ginkgo/v2"
@@ -90,4 +92,34 @@
 		Expect(f.calls[1].SoftDeadline).To(Equal(f.calls[0].SoftDeadline))
 		Expect(f.calls[2].SoftDeadline).To(Equal(f.calls[0].SoftDeadline.Add(400 * time.Millisecond)))
 	})
+	// Refused requests with long queries were kept whole until their deadline and used up the memory of a node.
+	for name, uri := range map[string]func(i int) string{
+		"with long URIs":           func(i int) string { return fmt.Sprintf("/safe/%d?%s", i, strings.Repeat("q", 15_500)) },
+		"of one URI, again":        func(int) string { return "/safe/1" },
+		"with short ones, as most": func(i int) string { return fmt.Sprintf("/safe/%d", i) },
+	} {
+		It("takes little memory, also of many "+name, func() {
+			const (
+				many = 20_000
+				most = 4 << 20 // bytes for all records
+			)
+			f := &fakeNodes{outcomes: []func(*hop.Call) hop.Outcome{refused(hop.Closed)}}
+			d := newDispatcher(f, 1, 0)
+			now := time.Now()
+			heap := func() int64 {
+				var m runtime.MemStats
+				runtime.GC()
+				runtime.ReadMemStats(&m)
+				return int64(m.HeapAlloc)
+			}
+			before := heap()
+			for i := range many {
+				// Deadlines lie so far apart that none is taken for another one's.
+				d.Do(context.Background(), &dispatch.Request{ID: "1", Method: "GET", URI: uri(i), Host: "h", Header: http.Header{}, Timeout: time.Hour + time.Duration(i)*time.Second, ReceivedAt: now})
+				f.calls = nil
+			}
+			Expect(heap() - before).To(BeNumerically("<", most))
+			runtime.KeepAlive(d)
+		})
+	}
 })
