listener: the last answer is delivered to clients that send ahead

Why it works: a connection with unacknowledged bytes whose client has sent ahead is closed only when the client has taken the answer, with bounds on time and bytes; a stopping node waits for these connections.

--- a/agent/agent.go
+++ b/agent/agent.go
@@ -274,7 +274,7 @@
 	a.gate.Close()
 	a.targetChanged()
 	a.registrar.waitStored(shutdownTimeout)
-	for ctx.Err() == nil && a.inflight.count() > 0 {
+	for ctx.Err() == nil && (a.inflight.count() > 0 || a.guard.Lingering() > 0) {
 		sleep(ctx, drainPoll)
 	}
 	remaining := a.inflight.count()
--- a/listener/conn.go
+++ b/listener/conn.go
@@ -35,6 +35,10 @@
 	evicted atomic.Bool
 	inHead  atomic.Bool
 
+	sentAhead atomic.Bool // the client has sent bytes of a further request while one was running
+	kept      atomic.Bool // serves another protocol than HTTP
+	lingering atomic.Bool
+
 	// The fields below are used by one goroutine at a time: the one that serves the connection.
 	size, lines int
 	grown       bool       // the receive buffer is that for long bodies
@@ -56,6 +60,7 @@
 		return 0, os.ErrDeadlineExceeded
 	}
 	if watching && err == nil {
+		c.sentAhead.Store(true)
 		err = c.watch()
 	}
 	return n, err
@@ -151,13 +156,6 @@
 	_ = c.Conn.Close()
 }
 
-// Close closes the connection.
-func (c *Conn) Close() error {
-	c.guard.buffers.remove(c)
-	c.socket.Remove()
-	return c.Conn.Close()
-}
-
 // CloseWrite ends the sending side, so that a client that is still sending receives a refusal before the connection is reset.
 func (c *Conn) CloseWrite() error {
 	if w, ok := c.Conn.(interface{ CloseWrite() error }); ok {
@@ -185,6 +183,7 @@
 		c.socket.SetRunning(false)
 		c.inHead.Store(true)
 	case http.StateHijacked:
+		c.kept.Store(true)
 		c.socket.Keep()
 	case http.StateClosed:
 		if c.hold != nil && c.evicted.Load() {
--- a/listener/guard.go
+++ b/listener/guard.go
@@ -5,6 +5,7 @@
 	"log/slog"
 	"net"
 	"net/http"
+	"sync/atomic"
 	"time"
 
 	"github.com/VictoriaMetrics/metrics"
@@ -33,9 +34,10 @@
 
 // Guard holds the limits that the servers of a process share.
 type Guard struct {
-	deps    Deps
-	memory  *door.Budget
-	buffers *buffers
+	deps      Deps
+	memory    *door.Budget
+	buffers   *buffers
+	lingering atomic.Int64
 }
 
 // New returns the limits of a process with the given memory; zero means no limit.
