--- a/listener/conn.go
+++ b/listener/conn.go
@@ -37,7 +37,7 @@
 
 	sentAhead atomic.Bool // the client has sent bytes of a further request while one was running
 	kept      atomic.Bool // serves another protocol than HTTP
-	lingering atomic.Bool
+	lingering atomic.Bool // closed by the server, while its last answer is being delivered
 
 	// The fields below are used by one goroutine at a time: the one that serves the connection.
 	size, lines int
--- a/listener/linger.go
+++ b/listener/linger.go
@@ -16,8 +16,8 @@
 	lingerUnread = 256 << 10             // bytes of further requests that are discarded meanwhile
 )
 
-// Close closes the connection. If the client has sent requests ahead, the kernel would reset the connection and discard what is still on its
-// way to the client; the rest of the answer is then delivered first, without the caller.
+// Close closes the connection. If the client has sent requests ahead, the kernel would reset the connection and discard what the client has
+// not taken of the last answer; Close then returns at once, and the connection is closed in the background when the answer has been delivered.
 func (c *Conn) Close() error {
 	if c.kept.Load() || !c.cutsAnswer() || !c.lingering.CompareAndSwap(false, true) {
 		return c.close()
